--- /dev/null
+++ b/chiveswitch/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for long model generations on engines that fail."""
--- /dev/null
+++ b/chiveswitch/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers."""
--- /dev/null
+++ b/chiveswitch/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic that does no I/O and reads no clock."""
--- /dev/null
+++ b/chiveswitch/core/codes.py
@@ -0,0 +1,182 @@
+"""Numbered result codes. Each code says whether the request ran, and whether a retry makes sense."""
+
+import enum
+
+import expression
+
+
+class Run(enum.Enum):
+    """Whether the request that a result belongs to was run."""
+
+    RUN = "run"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Retry(enum.Enum):
+    """What a caller does with a result."""
+
+    NO = "no"
+    LATER = "later"
+    SAME_KEY = "same_key"
+    OTHER_ADDRESS = "other_address"
+
+
+class Code(enum.IntEnum):
+    """Result codes, as listed in docs/result-codes.md."""
+
+    OK = 1000
+    BAD_REQUEST = 2001
+    BODY_TOO_LARGE = 2002
+    UNAUTHENTICATED = 2003
+    SERVICE_UNKNOWN = 2004
+    NOT_PERMITTED = 2005
+    KEY_REQUIRED = 2006
+    KEY_REUSED = 2007
+    REQUEST_UNKNOWN = 2008
+    ACCOUNT_LIMIT = 3001
+    QUEUE_FULL = 3002
+    WAIT_EXPIRED = 3003
+    NO_TARGET = 3004
+    BUNDLE_STALE = 3005
+    DRAINING = 3006
+    CONTROL_UNAVAILABLE = 3007
+    RETRY_BUDGET_SPENT = 3008
+    MAY_HAVE_RUN = 4001
+    IN_PROGRESS = 4002
+    OWNERSHIP_LOST = 4003
+    JOURNAL_STALE = 4004
+    JOURNAL_UNAVAILABLE = 4005
+    CANCELLED = 4006
+    SLOW_READER = 4007
+    TARGET_FAILED = 4008
+    INTERNAL = 5001
+    BUNDLE_INVALID = 6001
+    VERSION_CONFLICT = 6002
+    NOT_APPROVED = 6003
+    APPROVER_IS_WRITER = 6004
+    BAD_SIGNATURE = 6005
+    STALE_SERIAL = 6006
+    NOT_LEADER = 6007
+    OPERATION_REUSED = 6008
+    BUNDLE_UNKNOWN = 6009
+    MEMBER_CHANGE_REFUSED = 6010
+    FENCED = 6011
+    FRAME_INVALID = 7001
+    FRAME_TOO_LARGE = 7002
+    VERSION_UNSUPPORTED = 7003
+    LOG_CORRUPT = 7004
+    DISK_FULL = 7005
+    LINK_TIMEOUT = 7006
+    LINK_CLOSED = 7007
+    EPOCH_SUPERSEDED = 7008
+    SETTING_INVALID = 8001
+
+
+class Meaning:
+    """What a code tells a caller.
+
+    Attributes:
+        run: Whether the request ran.
+        retry: What the caller may do next.
+        http_status: Status of the HTTP response that carries the code.
+    """
+
+    __slots__ = ("run", "retry", "http_status")
+
+    def __init__(self, run: Run, retry: Retry, http_status: int):
+        self.run = run
+        self.retry = retry
+        self.http_status = http_status
+
+
+MEANING_BY_CODE = {
+    Code.OK: Meaning(Run.RUN, Retry.NO, 200),
+    Code.BAD_REQUEST: Meaning(Run.NOT_RUN, Retry.NO, 400),
+    Code.BODY_TOO_LARGE: Meaning(Run.NOT_RUN, Retry.NO, 413),
+    Code.UNAUTHENTICATED: Meaning(Run.NOT_RUN, Retry.NO, 401),
+    Code.SERVICE_UNKNOWN: Meaning(Run.NOT_RUN, Retry.NO, 404),
+    Code.NOT_PERMITTED: Meaning(Run.NOT_RUN, Retry.NO, 403),
+    Code.KEY_REQUIRED: Meaning(Run.NOT_RUN, Retry.NO, 400),
+    Code.KEY_REUSED: Meaning(Run.NOT_RUN, Retry.NO, 409),
+    Code.REQUEST_UNKNOWN: Meaning(Run.UNKNOWN, Retry.NO, 404),
+    Code.ACCOUNT_LIMIT: Meaning(Run.NOT_RUN, Retry.LATER, 429),
+    Code.QUEUE_FULL: Meaning(Run.NOT_RUN, Retry.LATER, 503),
+    Code.WAIT_EXPIRED: Meaning(Run.NOT_RUN, Retry.LATER, 503),
+    Code.NO_TARGET: Meaning(Run.NOT_RUN, Retry.LATER, 503),
+    Code.BUNDLE_STALE: Meaning(Run.NOT_RUN, Retry.OTHER_ADDRESS, 503),
+    Code.DRAINING: Meaning(Run.NOT_RUN, Retry.OTHER_ADDRESS, 503),
+    Code.CONTROL_UNAVAILABLE: Meaning(Run.NOT_RUN, Retry.LATER, 503),
+    Code.RETRY_BUDGET_SPENT: Meaning(Run.UNKNOWN, Retry.LATER, 503),
+    Code.MAY_HAVE_RUN: Meaning(Run.UNKNOWN, Retry.SAME_KEY, 504),
+    Code.IN_PROGRESS: Meaning(Run.UNKNOWN, Retry.SAME_KEY, 409),
+    Code.OWNERSHIP_LOST: Meaning(Run.UNKNOWN, Retry.OTHER_ADDRESS, 409),
+    Code.JOURNAL_STALE: Meaning(Run.UNKNOWN, Retry.OTHER_ADDRESS, 409),
+    Code.JOURNAL_UNAVAILABLE: Meaning(Run.UNKNOWN, Retry.SAME_KEY, 503),
+    Code.CANCELLED: Meaning(Run.UNKNOWN, Retry.NO, 410),
+    Code.SLOW_READER: Meaning(Run.UNKNOWN, Retry.SAME_KEY, 408),
+    Code.TARGET_FAILED: Meaning(Run.UNKNOWN, Retry.SAME_KEY, 502),
+    Code.INTERNAL: Meaning(Run.UNKNOWN, Retry.SAME_KEY, 500),
+    Code.BUNDLE_INVALID: Meaning(Run.NOT_RUN, Retry.NO, 422),
+    Code.VERSION_CONFLICT: Meaning(Run.NOT_RUN, Retry.NO, 409),
+    Code.NOT_APPROVED: Meaning(Run.NOT_RUN, Retry.NO, 409),
+    Code.APPROVER_IS_WRITER: Meaning(Run.NOT_RUN, Retry.NO, 403),
+    Code.BAD_SIGNATURE: Meaning(Run.NOT_RUN, Retry.NO, 403),
+    Code.STALE_SERIAL: Meaning(Run.NOT_RUN, Retry.NO, 409),
+    Code.NOT_LEADER: Meaning(Run.NOT_RUN, Retry.OTHER_ADDRESS, 503),
+    Code.OPERATION_REUSED: Meaning(Run.NOT_RUN, Retry.NO, 409),
+    Code.BUNDLE_UNKNOWN: Meaning(Run.NOT_RUN, Retry.NO, 404),
+    Code.MEMBER_CHANGE_REFUSED: Meaning(Run.NOT_RUN, Retry.LATER, 409),
+    Code.FENCED: Meaning(Run.NOT_RUN, Retry.NO, 409),
+    Code.FRAME_INVALID: Meaning(Run.NOT_RUN, Retry.NO, 400),
+    Code.FRAME_TOO_LARGE: Meaning(Run.NOT_RUN, Retry.NO, 413),
+    Code.VERSION_UNSUPPORTED: Meaning(Run.NOT_RUN, Retry.NO, 400),
+    Code.LOG_CORRUPT: Meaning(Run.UNKNOWN, Retry.NO, 500),
+    Code.DISK_FULL: Meaning(Run.UNKNOWN, Retry.LATER, 507),
+    Code.LINK_TIMEOUT: Meaning(Run.UNKNOWN, Retry.LATER, 504),
+    Code.LINK_CLOSED: Meaning(Run.UNKNOWN, Retry.LATER, 502),
+    Code.EPOCH_SUPERSEDED: Meaning(Run.UNKNOWN, Retry.OTHER_ADDRESS, 409),
+    Code.SETTING_INVALID: Meaning(Run.NOT_RUN, Retry.NO, 400),
+}
+
+
+class Failure:
+    """An error as data: a numbered code and a sentence for the reader.
+
+    Attributes:
+        code: The numbered code.
+        message: One sentence that says what failed.
+    """
+
+    __slots__ = ("code", "message")
+
+    def __init__(self, code: Code, message: str):
+        self.code = code
+        self.message = message
+
+    def __repr__(self):
+        return f"Failure({self.code.name}, {self.message!r})"
+
+    def __eq__(self, other):
+        return (
+            isinstance(other, Failure) and self.code == other.code and self.message == other.message
+        )
+
+    __hash__ = None
+
+
+def failure(code: Code, message: str) -> expression.Result:
+    """Returns an `expression.Error` that holds a `Failure` of the given code and message."""
+    return expression.Error(Failure(code, message))
+
+
+def to_json(code: Code, message: str) -> dict:
+    """Returns the JSON object that an HTTP error response carries."""
+    meaning = MEANING_BY_CODE[code]
+    return {
+        "code": int(code),
+        "name": code.name,
+        "run": meaning.run.value,
+        "retry": meaning.retry.value,
+        "message": message,
+    }
--- /dev/null
+++ b/chiveswitch/core/digests_test.py
@@ -0,0 +1,23 @@
+"""Tests of the prefix digest."""
+
+import hypothesis
+import hypothesis.strategies as st
+
+from chiveswitch.core import digests
+
+TOKENS = st.lists(st.text(max_size=6), max_size=12)
+
+
+@hypothesis.given(TOKENS, TOKENS)
+def test_digest_equal_only_for_equal_tokens(left, right):
+    # Guards against prefixes that only look equal once their tokens are joined.
+    assert (digests.of_tokens(left) == digests.of_tokens(right)) == (left == right)
+
+
+@hypothesis.given(TOKENS, st.integers(0, 12))
+def test_digest_does_not_depend_on_batches(tokens, cut):
+    digest = digests.PrefixDigest()
+    digest.add(tokens[:cut])
+    digest.add(tokens[cut:])
+    assert digest.hexdigest() == digests.of_tokens(tokens)
+    assert digest.length == len(tokens)
--- /dev/null
+++ b/chiveswitch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API and its client."""
--- /dev/null
+++ b/chiveswitch/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the system's own processes."""
--- /dev/null
+++ b/chiveswitch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines and the weight store's client."""
--- /dev/null
+++ b/chiveswitch/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The disk of a control VM."""
--- /dev/null
+++ b/chiveswitch/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for engines and plain services, announcements, and stand-ins of both."""
--- /dev/null
+++ b/chiveswitch/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command line, daemons, measuring tool and demo."""
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios of what must always hold."""
