--- a/chiveswitch/core/clock.py
+++ b/chiveswitch/core/clock.py
@@ -6,6 +6,7 @@
 def now() -> float:
     """Returns seconds of CLOCK_BOOTTIME.
 
-    `time.monotonic()` stops while a VM is suspended on Linux, so that a lease would outlive the suspension.
+    `time.monotonic()` stops while a VM is suspended on Linux, so that a lease would outlive the
+    suspension.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/chiveswitch/core/codes.py
+++ b/chiveswitch/core/codes.py
@@ -1,4 +1,4 @@
-"""Numbered result codes. Each code says whether the request ran, and whether a retry makes sense."""
+"""Numbered result codes, which say whether a request ran and whether a retry makes sense."""
 
 import enum
 
