--- /dev/null
+++ b/chiveswitch/peers/frames.py
@@ -0,0 +1,90 @@
+"""Frames between own processes: a four-byte length, then a thrift envelope."""
+
+import pathlib
+import struct
+
+import expression
+import thriftpy2
+from thriftpy2.protocol import cybin
+from thriftpy2.transport import memory
+
+from chiveswitch.core import codes
+
+WIRE_VERSION = 1
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+LENGTH = struct.Struct("!I")
+
+idl = thriftpy2.load(
+    str(pathlib.Path(__file__).parent / "link.thrift"), module_name="chiveswitch_link_thrift"
+)
+
+
+def encode_struct(value) -> bytes:
+    """Returns the binary thrift encoding of a struct."""
+    transport = memory.TCyMemoryBuffer()
+    protocol = cybin.TCyBinaryProtocol(transport)
+    protocol.write_struct(value)
+    return transport.getvalue()
+
+
+def decode_struct(value, data: bytes) -> expression.Result:
+    """Fills an empty thrift struct from its binary encoding.
+
+    Args:
+        value: An empty instance of the struct's class.
+        data: The encoded bytes.
+    Returns:
+        Ok with the filled struct, or FRAME_INVALID.
+    """
+    protocol = cybin.TCyBinaryProtocol(memory.TCyMemoryBuffer(data))
+    try:
+        protocol.read_struct(value)
+    # The decoder raises many kinds of errors on bytes that are not a struct.
+    except Exception as error:
+        return codes.failure(codes.Code.FRAME_INVALID, f"{type(value).__name__}: {error!r}")
+    return expression.Ok(value)
+
+
+def encode_frame(envelope) -> bytes:
+    """Returns the length-prefixed frame of an envelope."""
+    data = encode_struct(envelope)
+    return LENGTH.pack(len(data)) + data
+
+
+def decode_envelope(data: bytes) -> expression.Result:
+    """Decodes an envelope without its length prefix.
+
+    Returns:
+        Ok with the envelope; FRAME_INVALID, or VERSION_UNSUPPORTED for another wire version.
+    """
+    result = decode_struct(idl.Envelope(), data)
+    if result.is_error():
+        return result
+    envelope = result.ok
+    if envelope.kind is None or envelope.request_id is None or envelope.version is None:
+        return codes.failure(codes.Code.FRAME_INVALID, "the envelope lacks a required field")
+    if envelope.version != WIRE_VERSION:
+        return codes.failure(
+            codes.Code.VERSION_UNSUPPORTED, f"wire version {envelope.version} is not supported"
+        )
+    if envelope.payload is None:
+        envelope.payload = b""
+    if isinstance(envelope.payload, str):
+        envelope.payload = envelope.payload.encode()
+    return expression.Ok(envelope)
+
+
+async def read_frame(reader) -> expression.Result:
+    """Reads one frame from an asyncio stream.
+
+    Returns:
+        Ok with the envelope; LINK_CLOSED at the end, FRAME_TOO_LARGE or a decode error.
+    """
+    try:
+        size = LENGTH.unpack(await reader.readexactly(LENGTH.size))[0]
+        if size > MAX_FRAME_BYTES:
+            return codes.failure(codes.Code.FRAME_TOO_LARGE, f"a frame of {size} bytes was refused")
+        data = await reader.readexactly(size)
+    except (EOFError, OSError) as error:
+        return codes.failure(codes.Code.LINK_CLOSED, repr(error))
+    return decode_envelope(data)
--- /dev/null
+++ b/chiveswitch/peers/kinds.py
@@ -0,0 +1,15 @@
+"""Kinds of messages between own processes."""
+
+import enum
+
+
+class Kind(enum.IntEnum):
+    """Message kinds; the numbers are part of the wire format and never reused."""
+
+    PING = 1
+    JOURNAL = 10
+    DIRECTORY_PULL = 20
+    CONSENSUS = 30
+    CONTROL_HEARTBEAT = 40
+    CONTROL_PROPOSE = 41
+    CONTROL_READ = 42
--- /dev/null
+++ b/chiveswitch/peers/link.thrift
@@ -0,0 +1,10 @@
+// Envelope of every message between the system's own processes.
+struct Envelope {
+  1: i16 version,
+  2: i16 kind,
+  3: i64 request_id,
+  4: bool is_reply,
+  5: i32 code,
+  6: binary payload,
+  7: string trace,
+}
--- /dev/null
+++ b/chiveswitch/targets/announcer.py
@@ -0,0 +1,85 @@
+"""Announces a target to gateways: two at a time, in different availability zones."""
+
+import asyncio
+import logging
+
+import aiosonic
+import orjson
+
+from chiveswitch.core import clock
+
+log = logging.getLogger("chiveswitch.announcer")
+
+ANNOUNCE_INTERVAL_SECONDS = 0.5
+ANNOUNCE_TIMEOUT_SECONDS = 0.4
+GATEWAYS_AT_A_TIME = 2
+HTTP_TIMEOUTS = aiosonic.timeout.Timeouts(
+    sock_connect=0.3, sock_read=ANNOUNCE_TIMEOUT_SECONDS, request_timeout=ANNOUNCE_TIMEOUT_SECONDS
+)
+
+
+class Announcer:
+    """Sends a target's announcements and moves on from gateways that do not answer.
+
+    Attributes:
+        describe: Function that returns the announcement's changing fields as a dict.
+        gateways: Seed addresses (`host:port`) of gateways.
+    """
+
+    def __init__(self, describe, gateways, offset: int = 0):
+        self.describe = describe
+        self.gateways = list(gateways)
+        self.incarnation = int(clock.now() * 1e6)
+        self.sequence = 0
+        self.state = "ready"
+        self._chosen = [
+            (offset + i * max(1, len(self.gateways) // GATEWAYS_AT_A_TIME)) % len(self.gateways)
+            for i in range(min(GATEWAYS_AT_A_TIME, len(self.gateways)))
+        ]
+        self._ticket_by_gateway = {}
+        self._client = aiosonic.HTTPClient()
+
+    async def run(self):
+        """Announces until cancelled."""
+        while True:
+            await self.announce()
+            await asyncio.sleep(ANNOUNCE_INTERVAL_SECONDS)
+
+    async def announce(self):
+        """Sends one announcement to each chosen gateway."""
+        self.sequence += 1
+        slots = range(len(self._chosen))
+        results = await asyncio.gather(*(self._send(self._chosen[slot]) for slot in slots))
+        for slot in slots:
+            if results[slot]:
+                continue
+            # Moves to the next gateway that no other slot uses.
+            for step in range(1, len(self.gateways)):
+                candidate = (self._chosen[slot] + step) % len(self.gateways)
+                if candidate not in self._chosen:
+                    self._chosen[slot] = candidate
+                    break
+
+    async def _send(self, index: int) -> bool:
+        gateway = self.gateways[index]
+        body = {
+            **self.describe(),
+            "incarnation": self.incarnation,
+            "sequence": self.sequence,
+            "state": self.state,
+            "ticket": self._ticket_by_gateway.get(gateway, ""),
+        }
+        try:
+            response = await self._client.post(
+                f"http://{gateway}/v1/targets/announce",
+                data=orjson.dumps(body),
+                timeouts=HTTP_TIMEOUTS,
+            )
+            if response.status_code != 200:
+                return False
+            self._ticket_by_gateway[gateway] = orjson.loads(await response.content())["ticket"]
+            return True
+        # Any failure of the library or the network means the same: try another gateway.
+        except Exception as error:
+            log.debug("announcer: %s did not answer: %r", gateway, error)
+            return False
--- /dev/null
+++ b/chiveswitch/targets/standin_engine.py
@@ -0,0 +1,313 @@
+"""Stand-in of a model engine: continuous batching, prefix cache, resume, cancel and orders.
+
+Token n depends on the seed, the prompt and the digest of all earlier tokens, so that a lost,
+repeated or mixed token changes every later one.
+"""
+
+import asyncio
+import collections
+import hashlib
+import logging
+
+import orjson
+from starlette import applications, responses, routing
+
+from chiveswitch.core import clock, digests, sse
+
+log = logging.getLogger("chiveswitch.engine")
+
+HEARTBEAT_SECONDS = 0.25
+# An attempt that nobody reads is dropped after this time, as real engines do.
+ORPHAN_SECONDS = 15.0
+MAX_KEPT_ATTEMPTS = 4096
+
+
+def next_token(seed: int, prompt: str, digest: str) -> str:
+    """Returns the token that follows the prefix with the given digest."""
+    data = f"{seed}|{prompt}|{digest}".encode()
+    return hashlib.blake2b(data, digest_size=3).hexdigest() + " "
+
+
+class EngineSettings:
+    """Speed and limits of a stand-in engine.
+
+    Attributes:
+        token_seconds: Time of one decoding step at a small batch.
+        batch_slowdown: Share by which a full batch is slower than a small one.
+        prefill_tokens_per_second: Prompt and prefix tokens read per second.
+        capacity: Largest batch.
+        cached_prefixes: Number of prompt prefixes kept warm.
+    """
+
+    __slots__ = (
+        "token_seconds",
+        "batch_slowdown",
+        "prefill_tokens_per_second",
+        "capacity",
+        "cached_prefixes",
+    )
+
+    def __init__(
+        self,
+        token_seconds=0.03,
+        batch_slowdown=0.3,
+        prefill_tokens_per_second=20_000.0,
+        capacity=64,
+        cached_prefixes=64,
+    ):
+        self.token_seconds = token_seconds
+        self.batch_slowdown = batch_slowdown
+        self.prefill_tokens_per_second = prefill_tokens_per_second
+        self.capacity = capacity
+        self.cached_prefixes = cached_prefixes
+
+
+class Attempt:
+    """One running or finished attempt."""
+
+    __slots__ = (
+        "attempt_id",
+        "prompt",
+        "seed",
+        "max_tokens",
+        "priority",
+        "prefix_length",
+        "prefix_digest",
+        "tokens",
+        "digest",
+        "ready_at",
+        "started",
+        "ended",
+        "cancelled",
+        "readers",
+        "left_at",
+        "changed",
+    )
+
+    def __init__(self, request: dict, now: float):
+        prefix = request.get("prefix", [])
+        self.attempt_id = request["attempt_id"]
+        self.prompt = request["prompt"]
+        self.seed = request["seed"]
+        self.max_tokens = request["max_tokens"]
+        self.priority = request.get("priority", 1)
+        self.prefix_length = len(prefix)
+        self.digest = digests.PrefixDigest()
+        self.digest.add(prefix)
+        self.prefix_digest = self.digest.hexdigest()
+        self.tokens = list(prefix)
+        self.ready_at = 0.0
+        self.started = False
+        self.ended = False
+        self.cancelled = False
+        self.readers = 0
+        self.left_at = now
+        self.changed = asyncio.Event()
+
+    def wake(self):
+        """Wakes all readers, which take what is new as one batch."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class Engine:
+    """Runs attempts in batches.
+
+    Attributes:
+        attempts_by_id: Attempts that are queued, running or kept for readers.
+        models: Ready models as (model, adapter, version).
+        tokens_generated: Tokens made since the start.
+        prefill_tokens: Prompt and prefix tokens read since the start.
+        silenced_before: Streams opened before this time send nothing more (fault injection).
+    """
+
+    def __init__(self, settings: EngineSettings, models, now=clock.now):
+        self.settings = settings
+        self.models = models
+        self.attempts_by_id = collections.OrderedDict()
+        self.running = []
+        self.queue = []
+        self.warm = collections.OrderedDict()
+        self.tokens_generated = 0
+        self.prefill_tokens = 0
+        self.silenced_before = -1.0
+        self.fence = (0, 0)
+        self._now = now
+
+    def submit(self, request: dict) -> Attempt:
+        """Queues an attempt; a repeated attempt id returns the attempt already held."""
+        held = self.attempts_by_id.get(request["attempt_id"])
+        if held is not None:
+            return held
+        attempt = Attempt(request, self._now())
+        self.attempts_by_id[attempt.attempt_id] = attempt
+        self.queue.append(attempt)
+        self.queue.sort(key=lambda queued: queued.priority)
+        while len(self.attempts_by_id) > MAX_KEPT_ATTEMPTS:
+            self.attempts_by_id.popitem(last=False)
+        return attempt
+
+    def cancel(self, attempt_id: str) -> bool:
+        """Cancels an attempt. Returns whether it was held."""
+        attempt = self.attempts_by_id.pop(attempt_id, None)
+        if attempt is None:
+            return False
+        attempt.cancelled = True
+        attempt.wake()
+        return True
+
+    def _admit(self, now: float):
+        while self.queue and len(self.running) < self.settings.capacity:
+            attempt = self.queue.pop(0)
+            if attempt.cancelled:
+                continue
+            key = attempt.prompt[:64]
+            work = attempt.prefix_length + len(attempt.prompt) // 4
+            if key in self.warm:
+                work -= min(work, len(attempt.prompt) // 4)
+            self.warm[key] = now
+            self.warm.move_to_end(key)
+            while len(self.warm) > self.settings.cached_prefixes:
+                self.warm.popitem(last=False)
+            self.prefill_tokens += work
+            attempt.ready_at = now + work / self.settings.prefill_tokens_per_second
+            self.running.append(attempt)
+
+    def step(self, now: float):
+        """Makes one token for each running attempt whose prefill is done."""
+        self._admit(now)
+        still_running = []
+        for attempt in self.running:
+            if attempt.cancelled:
+                continue
+            if attempt.readers == 0 and now - attempt.left_at > ORPHAN_SECONDS:
+                self.cancel(attempt.attempt_id)
+                continue
+            if now < attempt.ready_at:
+                still_running.append(attempt)
+                continue
+            attempt.started = True
+            if len(attempt.tokens) < attempt.max_tokens:
+                token = next_token(attempt.seed, attempt.prompt, attempt.digest.hexdigest())
+                attempt.tokens.append(token)
+                attempt.digest.add((token,))
+                self.tokens_generated += 1
+            if len(attempt.tokens) >= attempt.max_tokens:
+                attempt.ended = True
+            else:
+                still_running.append(attempt)
+            attempt.wake()
+        self.running = still_running
+
+    async def run(self):
+        """Steps until cancelled."""
+        while True:
+            began = self._now()
+            self.step(began)
+            load = len(self.running) / self.settings.capacity
+            period = self.settings.token_seconds * (1 + self.settings.batch_slowdown * load)
+            await asyncio.sleep(max(0.001, period - (self._now() - began)))
+
+    async def stream(self, attempt: Attempt, offset: int):
+        """Yields the server-sent events of an attempt from a token offset on."""
+        opened = self._now()
+        attempt.readers += 1
+        started = False
+        try:
+            while True:
+                if opened < self.silenced_before:
+                    await asyncio.sleep(HEARTBEAT_SECONDS)
+                    continue
+                changed = attempt.changed
+                if attempt.cancelled:
+                    return
+                if attempt.started and not started:
+                    started = True
+                    yield sse.encode(
+                        "start",
+                        orjson.dumps(
+                            {
+                                "prefix_length": attempt.prefix_length,
+                                "prefix_digest": attempt.prefix_digest,
+                            }
+                        ),
+                    )
+                if started and offset < len(attempt.tokens):
+                    tokens = attempt.tokens[offset:]
+                    yield sse.encode("tokens", orjson.dumps({"o": offset, "t": tokens}))
+                    offset += len(tokens)
+                if started and attempt.ended and offset >= len(attempt.tokens):
+                    yield sse.encode("end", orjson.dumps({"final_offset": len(attempt.tokens)}))
+                    return
+                try:
+                    async with asyncio.timeout(HEARTBEAT_SECONDS):
+                        await changed.wait()
+                except TimeoutError:
+                    yield sse.HEARTBEAT
+        finally:
+            attempt.readers -= 1
+            attempt.left_at = self._now()
+
+    def load(self) -> dict:
+        """Returns the load that announcements report."""
+        return {
+            "running": len(self.running),
+            "queued": len(self.queue),
+            "capacity": self.settings.capacity,
+        }
+
+
+def build_app(engine: Engine) -> applications.Starlette:
+    """Returns the engine's HTTP application."""
+
+    async def generate(request):
+        body = orjson.loads(await request.body())
+        wanted = (body["model"], body["adapter"], body["version"])
+        if wanted not in engine.models:
+            return responses.JSONResponse({"error": "the model is not loaded"}, 409)
+        attempt = engine.submit(body)
+        return responses.StreamingResponse(
+            engine.stream(attempt, attempt.prefix_length), media_type="text/event-stream"
+        )
+
+    async def reattach(request):
+        attempt = engine.attempts_by_id.get(request.path_params["attempt_id"])
+        offset = int(request.query_params.get("offset", "0"))
+        if attempt is None or offset < attempt.prefix_length or offset > len(attempt.tokens):
+            return responses.JSONResponse({"error": "unknown attempt or offset"}, 404)
+        return responses.StreamingResponse(
+            engine.stream(attempt, offset), media_type="text/event-stream"
+        )
+
+    async def cancel(request):
+        held = engine.cancel(request.path_params["attempt_id"])
+        return responses.JSONResponse({"cancelled": True, "was_held": held})
+
+    async def status(_request):
+        return responses.JSONResponse(
+            {
+                "load": engine.load(),
+                "models": [list(model) for model in engine.models],
+                "tokens_generated": engine.tokens_generated,
+                "prefill_tokens": engine.prefill_tokens,
+                "fence": list(engine.fence),
+            }
+        )
+
+    async def faults(request):
+        body = orjson.loads(await request.body())
+        if body.get("silence_streams"):
+            engine.silenced_before = clock.now()
+        if "token_seconds" in body:
+            engine.settings.token_seconds = float(body["token_seconds"])
+        return responses.JSONResponse({})
+
+    return applications.Starlette(
+        routes=[
+            routing.Route("/v1/generations", generate, methods=["POST"]),
+            routing.Route("/v1/generations/{attempt_id}", reattach, methods=["GET"]),
+            routing.Route("/v1/generations/{attempt_id}", cancel, methods=["DELETE"]),
+            routing.Route("/v1/status", status, methods=["GET"]),
+            routing.Route("/standin/faults", faults, methods=["POST"]),
+        ]
+    )
