--- /dev/null
+++ b/chiveswitch/targets/service_client.py
@@ -0,0 +1,104 @@
+"""Client of plain services, which tells whether any byte of a call can have reached the target."""
+
+import contextvars
+import enum
+
+import aiosonic
+import orjson
+from aiosonic import connection, connectors, exceptions, pools
+
+from chiveswitch.core import clock
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+
+_deadline = contextvars.ContextVar("permit_deadline", default=None)
+
+
+class DeadlinePassedError(Exception):
+    """The permit of a call ended before its first byte was sent."""
+
+
+class _CheckedConnection(connection.Connection):
+    """A connection that checks the permit's deadline after connecting, before the first byte."""
+
+    async def connect(self, *args, **kwargs):
+        await super().connect(*args, **kwargs)
+        deadline = _deadline.get()
+        if deadline is not None and clock.now() >= deadline:
+            self.close()
+            raise DeadlinePassedError
+
+
+class Fate(enum.Enum):
+    """What is known of a call after its attempt."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not_sent"
+    DEADLINE_PASSED = "deadline_passed"
+    UNKNOWN = "unknown"
+
+
+class Outcome:
+    """Outcome of one attempt of a call.
+
+    Attributes:
+        fate: What is known.
+        status: HTTP status, 0 without an answer.
+        body: Bytes of the answer.
+    """
+
+    __slots__ = ("fate", "status", "body")
+
+    def __init__(self, fate: Fate, status: int = 0, body: bytes = b""):
+        self.fate = fate
+        self.status = status
+        self.body = body
+
+
+async def call(address, service, body, key, timeout, deadline=None, traceparent="") -> Outcome:
+    """Sends one call over a new connection.
+
+    A pooled connection may have gone silent, and a retry inside the library could send twice, so
+    each call opens its own and is sent as POST, which the library never repeats.
+
+    Args:
+        address: `ip:port` of the target.
+        service: Service name.
+        body: JSON value.
+        key: The caller's key, or empty.
+        timeout: Seconds to wait for the answer.
+        deadline: Time (CLOCK_BOOTTIME seconds) after which the first byte must not be sent.
+        traceparent: Trace context.
+    Returns:
+        The `Outcome`.
+    """
+    client = aiosonic.HTTPClient(
+        connectors.TCPConnector(
+            pool_configs={":default": pools.PoolConfig(size=1)}, connection_cls=_CheckedConnection
+        )
+    )
+    headers = {"connection": "close", "traceparent": traceparent}
+    if key:
+        headers["idempotency-key"] = key
+    token = _deadline.set(deadline)
+    try:
+        response = await client.request(
+            f"http://{address}/v1/calls",
+            method="POST",
+            headers={name: value for name, value in headers.items() if value},
+            data=orjson.dumps({"service": service, "body": body}),
+            timeouts=aiosonic.timeout.Timeouts(
+                sock_connect=CONNECT_TIMEOUT_SECONDS, sock_read=timeout, request_timeout=timeout
+            ),
+        )
+        return Outcome(Fate.ANSWERED, response.status_code, await response.content())
+    except DeadlinePassedError:
+        return Outcome(Fate.DEADLINE_PASSED)
+    except (ConnectionRefusedError, exceptions.ConnectTimeout):
+        return Outcome(Fate.NOT_SENT)
+    # After the connection stood, bytes may have left; nothing more is known.
+    except Exception:
+        return Outcome(Fate.UNKNOWN)
+    finally:
+        _deadline.reset(token)
+        await client.connector.cleanup()
