Rank gateways for journals by rendezvous hashing

Holders are the owner and the next in rank, each from a zone with the fewest copies so far, so that a lost zone costs at most one copy while zones suffice. Lookup candidates are two per zone.

--- /dev/null
+++ b/chiveswitch/core/ranking.py
@@ -0,0 +1,102 @@
+"""Rendezvous hashing: ranks gateways for a request and chooses holders and lookup candidates."""
+
+import xxhash
+
+
+class Gateway:
+    """A live gateway.
+
+    Attributes:
+        holder: Holder id: the gateway's id with its incarnation.
+        availability_zone: Name of the zone.
+    """
+
+    __slots__ = ("holder", "availability_zone")
+
+    def __init__(self, holder: str, availability_zone: str):
+        self.holder = holder
+        self.availability_zone = availability_zone
+
+
+def rank(key, gateways) -> list:
+    """Returns the gateways by descending rank for a key.
+
+    Args:
+        key: Tuple (account, request id).
+        gateways: Iterable of `Gateway`.
+    """
+    account, request_id = key
+    # The length prefix keeps ("ab", "c") and ("a", "bc") apart.
+    prefix = f"{len(account)}:{account}{request_id}\0".encode()
+    digest = xxhash.xxh3_64_intdigest
+    scored = [(digest(prefix + g.holder.encode()), g.holder, g) for g in gateways]
+    scored.sort(reverse=True)
+    return [gateway for _, _, gateway in scored]
+
+
+def choose_next(ranked, holders):
+    """Returns the gateway that joins `holders` next, or None if none is left.
+
+    Args:
+        ranked: Gateways by descending rank.
+        holders: Holder ids that are already chosen.
+
+    Returns:
+        The first gateway by rank in the zones with the fewest holders, so that no zone gets a
+        second one while there are enough zones.
+    """
+    count_by_zone = {gateway.availability_zone: 0 for gateway in ranked}
+    for gateway in ranked:
+        if gateway.holder in holders:
+            count_by_zone[gateway.availability_zone] += 1
+    best = None
+    for gateway in ranked:
+        if gateway.holder in holders:
+            continue
+        count = count_by_zone[gateway.availability_zone]
+        if best is None or count < count_by_zone[best.availability_zone]:
+            best = gateway
+    return best
+
+
+def choose_holders(key, owner, gateways, copies) -> list:
+    """Returns the holder ids for a new request: the owner, then others in other zones.
+
+    Args:
+        key: Tuple (account, request id).
+        owner: Holder id of the owner, which is among the gateways.
+        gateways: Live gateways.
+        copies: Number of copies, 3 or 5. Fewer are returned if there are fewer gateways.
+    """
+    ranked = rank(key, gateways)
+    holders = [owner]
+    while len(holders) < copies:
+        gateway = choose_next(ranked, holders)
+        if gateway is None:
+            break
+        holders.append(gateway.holder)
+    return holders
+
+
+def choose_candidates(key, gateways, known_holders=(), per_zone=2) -> list:
+    """Returns the holder ids that a takeover asks first.
+
+    Args:
+        key: Tuple (account, request id).
+        gateways: Live gateways.
+        known_holders: Holders of a config that the caller already knows.
+        per_zone: Candidates per zone.
+
+    Returns:
+        Known holders, then the highest in rank of each zone, without duplicates.
+    """
+    candidates = list(dict.fromkeys(known_holders))
+    count_by_zone = {}
+    for gateway in rank(key, gateways):
+        count = count_by_zone.get(gateway.availability_zone, 0)
+        if count == per_zone:
+            continue
+        count_by_zone[gateway.availability_zone] = count + 1
+        if gateway.holder not in candidates:
+            candidates.append(gateway.holder)
+    return candidates
