--- /dev/null
+++ b/chiveswitch/peers/journal_codec.py
@@ -0,0 +1,417 @@
+"""Encodes and decodes the journal's messages with thriftpy2 (binary protocol, cython).
+
+`thriftpy2`'s cython memory buffer does not check its end: it reads past a truncated frame without
+an error, allocates whatever length a string claims, and loops over any claimed number of elements
+of an unknown type. `_check_struct` therefore walks every frame first, so that the decoder only
+sees frames whose lengths, types and required fields are right.
+"""
+
+import math
+import pathlib
+import struct
+
+import expression
+import thriftpy2
+import thriftpy2.protocol.cybin as cybin
+import thriftpy2.thrift as thrift
+import thriftpy2.transport.memory as memory
+
+from chiveswitch.core import codes, journal
+
+idl = thriftpy2.load(
+    str(pathlib.Path(__file__).with_name("journal.thrift")), module_name="journal_thrift"
+)
+
+MAX_DEPTH = 16
+FIXED_SIZE_BY_TYPE = {
+    thrift.TType.BOOL: 1,
+    thrift.TType.BYTE: 1,
+    thrift.TType.DOUBLE: 8,
+    thrift.TType.I16: 2,
+    thrift.TType.I32: 4,
+    thrift.TType.I64: 8,
+}
+# Both text and binary fields have the type STRING on the wire.
+WIRE_TYPE_BY_TYPE = {thrift.TType.BINARY: thrift.TType.STRING}
+KNOWN_REFUSALS = (codes.Code.EPOCH_SUPERSEDED, codes.Code.QUEUE_FULL)
+
+_I32 = struct.Struct(">i")
+_FIELD = struct.Struct(">bh")
+_LIST = struct.Struct(">bi")
+_protocols = cybin.TCyBinaryProtocolFactory(strict_decode=True)
+
+
+class _InvalidFrameError(Exception):
+    """Raised inside this module only; `decode` returns it as FRAME_INVALID."""
+
+
+def encode(message) -> bytes:
+    """Returns the frame of a message record of `core.journal`, without a length prefix.
+
+    Raises:
+        ValueError: The entries of a batch are not all of the batch's owner, which is a fault of
+            the caller.
+    """
+    name, to_thrift = ENCODER_BY_TYPE[type(message)]
+    buffer = memory.TCyMemoryBuffer()
+    _protocols.get_protocol(buffer).write_struct(idl.JournalMessage(**{name: to_thrift(message)}))
+    return buffer.getvalue()
+
+
+def decode(frame: bytes) -> expression.Result:
+    """Returns the message record in a frame, or a FRAME_INVALID failure for any other bytes."""
+    try:
+        if _check_struct(frame, 0, idl.JournalMessage, MAX_DEPTH) != len(frame):
+            raise _InvalidFrameError("bytes after the message")
+        message = idl.JournalMessage()
+        _protocols.get_protocol(memory.TCyMemoryBuffer(frame)).read_struct(message)
+        present = [(k, v) for k, v in vars(message).items() if v is not None]
+        if len(present) != 1:
+            raise _InvalidFrameError(f"{len(present)} messages instead of one")
+        name, body = present[0]
+        return expression.Ok(DECODER_BY_NAME[name](body))
+    except (_InvalidFrameError, struct.error, IndexError, UnicodeDecodeError) as error:
+        return codes.failure(codes.Code.FRAME_INVALID, f"The frame is invalid: {error}.")
+
+
+def _check_struct(frame, position, kind, depth):
+    """Returns the position after a struct, or raises if the decoder could not read it safely."""
+    if not depth:
+        raise _InvalidFrameError("nested too deep")
+    spec_by_id = {} if kind is None else kind.thrift_spec
+    seen = set()
+    while True:
+        field_type = frame[position]
+        if field_type == thrift.TType.STOP:
+            position += 1
+            break
+        field_type, field_id = _FIELD.unpack_from(frame, position)
+        position += _FIELD.size
+        spec = spec_by_id.get(field_id)
+        if spec is None:
+            # A field of a newer version is checked like any other and skipped by the decoder.
+            position = _check_value(frame, position, field_type, None, depth)
+            continue
+        if field_type != WIRE_TYPE_BY_TYPE.get(spec[0], spec[0]):
+            raise _InvalidFrameError(f"field {spec[1]} has type {field_type}")
+        if field_id in seen:
+            raise _InvalidFrameError(f"field {spec[1]} is repeated")
+        seen.add(field_id)
+        inner = spec[2] if len(spec) > 3 else None
+        position = _check_value(frame, position, field_type, inner, depth)
+    for field_id, spec in spec_by_id.items():
+        if spec[-1] and field_id not in seen:
+            raise _InvalidFrameError(f"field {spec[1]} is missing")
+    return position
+
+
+def _check_value(frame, position, value_type, inner, depth):
+    size = FIXED_SIZE_BY_TYPE.get(value_type)
+    if size is not None:
+        return _check_end(frame, position + size)
+    if value_type == thrift.TType.STRING:
+        (size,) = _I32.unpack_from(frame, position)
+        if size < 0:
+            raise _InvalidFrameError("negative length")
+        return _check_end(frame, position + 4 + size)
+    if value_type == thrift.TType.STRUCT:
+        return _check_struct(frame, position, inner, depth - 1)
+    if value_type in (thrift.TType.LIST, thrift.TType.SET):
+        return _check_list(frame, position, inner, depth - 1)
+    # No message has a map, and a newer version may not add one.
+    raise _InvalidFrameError(f"type {value_type} is not used")
+
+
+def _check_list(frame, position, inner, depth):
+    if not depth:
+        raise _InvalidFrameError("nested too deep")
+    element_type, count = _LIST.unpack_from(frame, position)
+    position += _LIST.size
+    if count < 0:
+        raise _InvalidFrameError("negative count")
+    element_inner = None
+    if inner is not None:
+        wanted, element_inner = inner if isinstance(inner, tuple) else (inner, None)
+        if element_type != WIRE_TYPE_BY_TYPE.get(wanted, wanted):
+            raise _InvalidFrameError(f"list of type {element_type}")
+    size = FIXED_SIZE_BY_TYPE.get(element_type)
+    if size is not None:
+        return _check_end(frame, position + size * count)
+    if element_type == thrift.TType.STRING:
+        # Every element takes at least its length prefix, so that the loop is bounded.
+        _check_end(frame, position + 4 * count)
+        unpack = _I32.unpack_from
+        for _ in range(count):
+            (size,) = unpack(frame, position)
+            if size < 0:
+                raise _InvalidFrameError("negative length")
+            position += 4 + size
+        return _check_end(frame, position)
+    for _ in range(count):
+        position = _check_value(frame, position, element_type, element_inner, depth)
+    return position
+
+
+def _check_end(frame, position):
+    if position > len(frame):
+        raise _InvalidFrameError("truncated")
+    return position
+
+
+def _from_epoch(epoch):
+    return idl.Epoch(*epoch)
+
+
+def _to_epoch(epoch):
+    return (epoch.counter, epoch.gateway)
+
+
+def _from_config(config):
+    return idl.Config(config.version, config.holders, config.previous_holders)
+
+
+def _to_config(config):
+    if not config.holders:
+        raise _InvalidFrameError("a config without holders")
+    return journal.Config(config.version, config.holders, config.previous_holders)
+
+
+def _from_attempt(attempt):
+    return None if attempt is None else idl.Attempt(attempt.engine, attempt.number)
+
+
+def _to_attempt(attempt):
+    return None if attempt is None else journal.Attempt(attempt.engine, attempt.number)
+
+
+def _from_snapshot(snapshot):
+    return idl.Snapshot(
+        _from_config(snapshot.config),
+        snapshot.header,
+        snapshot.keep_s,
+        snapshot.generation,
+        snapshot.tokens,
+        snapshot.end,
+        _from_attempt(snapshot.attempt),
+    )
+
+
+def _to_snapshot(snapshot):
+    # A keep time that is not a number would compare as over at once.
+    if not 0 <= snapshot.keep_s < math.inf:
+        raise _InvalidFrameError(f"keep time {snapshot.keep_s}")
+    return journal.Snapshot(
+        _to_config(snapshot.config),
+        snapshot.header,
+        snapshot.keep_s,
+        snapshot.generation,
+        snapshot.tokens,
+        snapshot.end_offset,
+        _to_attempt(snapshot.attempt),
+    )
+
+
+def _to_code(code):
+    if code not in KNOWN_REFUSALS:
+        raise _InvalidFrameError(f"refusal code {code}")
+    return codes.Code(code)
+
+
+# Fields that are not carried as they are, with their conversion to and from thrift.
+CONVERSION_BY_FIELD = {
+    "epoch": (_from_epoch, _to_epoch),
+    "promised": (_from_epoch, _to_epoch),
+    "accepted": (_from_epoch, _to_epoch),
+    "config": (_from_config, _to_config),
+    "snapshot": (_from_snapshot, _to_snapshot),
+    "code": (int, _to_code),
+}
+
+
+def _conversions(record, kind):
+    """Returns (record field, thrift field, conversion) of each field besides the key."""
+    names = [name for name in record.__slots__ if name != "key"]
+    specs = [kind.thrift_spec[field_id] for field_id in sorted(kind.thrift_spec)][2:]
+    return [
+        (name, spec[1], CONVERSION_BY_FIELD.get(name))
+        for name, spec in zip(names, specs, strict=True)
+    ]
+
+
+def _encoder(record, kind):
+    conversions = _conversions(record, kind)
+
+    def to_thrift(message):
+        values = []
+        for name, _, conversion in conversions:
+            value = getattr(message, name)
+            values.append(value if conversion is None else conversion[0](value))
+        return kind(*message.key, *values)
+
+    return to_thrift
+
+
+def _decoder(record, kind):
+    conversions = _conversions(record, kind)
+
+    def to_record(body):
+        values = []
+        for _, name, conversion in conversions:
+            value = getattr(body, name)
+            values.append(value if conversion is None else conversion[1](value))
+        return record((body.account, body.request_id), *values)
+
+    return to_record
+
+
+def _from_append_batch(batch):
+    entries, owner = batch.entries, batch.owner
+    tokens, ends, attempt_entries, attempts = [], [], [], []
+    for number, entry in enumerate(entries):
+        if entry.epoch[1] != owner:
+            raise ValueError(f"an entry of {entry.epoch[1]} in a batch of {owner}")
+        tokens += entry.tokens
+        ends.append(-1 if entry.end is None else entry.end)
+        if entry.attempt is not None:
+            attempt_entries.append(number)
+            attempts.append(_from_attempt(entry.attempt))
+    return idl.AppendBatch(
+        owner,
+        [entry.key[0] for entry in entries],
+        [entry.key[1] for entry in entries],
+        [entry.epoch[0] for entry in entries],
+        [entry.config_version for entry in entries],
+        [entry.generation for entry in entries],
+        [entry.offset for entry in entries],
+        [len(entry.tokens) for entry in entries],
+        tokens,
+        ends,
+        attempt_entries,
+        attempts,
+    )
+
+
+def _to_append_batch(body):
+    owner, tokens, count = body.owner, body.tokens, len(body.accounts)
+    columns = (
+        body.request_ids,
+        body.counters,
+        body.config_versions,
+        body.generations,
+        body.offsets,
+        body.token_counts,
+        body.ends,
+    )
+    if any(len(column) != count for column in columns):
+        raise _InvalidFrameError("columns of different lengths")
+    if min(body.token_counts, default=0) < 0 or sum(body.token_counts) != len(tokens):
+        raise _InvalidFrameError("token counts that do not match the tokens")
+    if min(body.offsets, default=0) < 0:
+        raise _InvalidFrameError("negative offset")
+    append, first, entries = journal.Append, 0, []
+    for account, request_id, counter, version, generation, offset, length, end in zip(
+        body.accounts, *columns, strict=True
+    ):
+        last = first + length
+        entries.append(
+            append(
+                (account, request_id),
+                (counter, owner),
+                version,
+                generation,
+                offset,
+                tokens[first:last],
+                None if end < 0 else end,
+            )
+        )
+        first = last
+    if len(body.attempt_entries) != len(body.attempts):
+        raise _InvalidFrameError("columns of different lengths")
+    for number, attempt in zip(body.attempt_entries, body.attempts, strict=True):
+        if not 0 <= number < count:
+            raise _InvalidFrameError(f"an attempt note for entry {number} of {count}")
+        entries[number].attempt = _to_attempt(attempt)
+    return journal.AppendBatch(owner, entries)
+
+
+def _from_reply_batch(batch):
+    owner = batch.owner
+    accepted, others = [], {journal.Gap: [], journal.Refused: [], journal.Unknown: []}
+    for entry in batch.entries:
+        if entry.epoch[1] != owner:
+            raise ValueError(f"an entry of {entry.epoch[1]} in a batch of {owner}")
+        if type(entry) is journal.Accepted:
+            accepted.append(entry)
+        else:
+            others[type(entry)].append(ENCODER_BY_TYPE[type(entry)][1](entry))
+    return idl.ReplyBatch(
+        owner,
+        [entry.key[0] for entry in accepted],
+        [entry.key[1] for entry in accepted],
+        [entry.epoch[0] for entry in accepted],
+        [entry.config_version for entry in accepted],
+        [entry.generation for entry in accepted],
+        [entry.length for entry in accepted],
+        [entry.ended for entry in accepted],
+        [entry.attempt_number for entry in accepted],
+        *others.values(),
+    )
+
+
+def _to_reply_batch(body):
+    owner, count = body.owner, len(body.accounts)
+    columns = (
+        body.request_ids,
+        body.counters,
+        body.config_versions,
+        body.generations,
+        body.lengths,
+        body.ended,
+        body.attempt_numbers,
+    )
+    if any(len(column) != count for column in columns):
+        raise _InvalidFrameError("columns of different lengths")
+    accepted = journal.Accepted
+    entries = [
+        accepted((account, request_id), (counter, owner), *rest)
+        for account, request_id, counter, *rest in zip(body.accounts, *columns, strict=True)
+    ]
+    for name, replies in (
+        ("gap", body.gaps),
+        ("refused", body.refusals),
+        ("unknown", body.unknowns),
+    ):
+        entries += [DECODER_BY_NAME[name](reply) for reply in replies]
+    if any(entry.epoch[1] != owner for entry in entries[count:]):
+        raise _InvalidFrameError("an entry of another owner")
+    return journal.ReplyBatch(owner, entries)
+
+
+def _from_append(message):
+    return _from_append_batch(journal.AppendBatch(message.epoch[1], [message]))
+
+
+ENCODER_BY_TYPE = {
+    journal.AppendBatch: ("append_batch", _from_append_batch),
+    journal.ReplyBatch: ("reply_batch", _from_reply_batch),
+    # A single append travels as a batch of one.
+    journal.Append: ("append_batch", _from_append),
+}
+DECODER_BY_NAME = {"append_batch": _to_append_batch, "reply_batch": _to_reply_batch}
+for _name, _record in (
+    ("install", journal.Install),
+    ("configure", journal.Configure),
+    ("promise", journal.Promise),
+    ("lookup", journal.Lookup),
+    ("release", journal.Release),
+    ("accepted", journal.Accepted),
+    ("gap", journal.Gap),
+    ("refused", journal.Refused),
+    ("unknown", journal.Unknown),
+    ("promised", journal.Promised),
+    ("found", journal.Found),
+    ("released", journal.Released),
+):
+    _kind = getattr(idl, _record.__name__)
+    ENCODER_BY_TYPE[_record] = (_name, _encoder(_record, _kind))
+    DECODER_BY_NAME[_name] = _decoder(_record, _kind)
