--- /dev/null
+++ b/chiveswitch/core/detector.py
@@ -0,0 +1,152 @@
+"""Detection of silent engines from the learned interval between a stream's events."""
+
+HEARTBEAT_S = 0.25
+LIMIT_MIN_S = 0.3
+LIMIT_MAX_S = 1.0
+
+# Gains of the running mean and mean deviation. Many streams of an engine share one estimate, so
+# small gains still follow a change of the batch size within a second.
+MEAN_GAIN = 1 / 16
+DEVIATION_GAIN = 1 / 8
+
+# A pause of a minute counts as one of this length, so that it doesn't hold the limit at its
+# maximum for long after the engine has returned.
+OBSERVED_MAX_S = 2 * LIMIT_MAX_S
+
+PREFILL = "prefill"
+DECODE = "decode"
+
+DETECTOR_BY_NAME = {}
+
+
+def register(name: str):
+    """Returns a decorator that enters a detector class in the registry under a name."""
+
+    def enter(detector_class):
+        DETECTOR_BY_NAME[name] = detector_class
+        return detector_class
+
+    return enter
+
+
+class Intervals:
+    """Running estimate of the interval between events of one engine in one phase.
+
+    Attributes:
+        mean: Running mean, in seconds.
+        deviation: Running mean deviation, in seconds.
+        hedge_min: Least silence before a hedge, in seconds.
+    """
+
+    __slots__ = ("mean", "deviation", "hedge_min")
+
+    def __init__(self, hedge_min: float):
+        # An engine of which nothing is known yet gets the longest limit.
+        self.mean = HEARTBEAT_S
+        self.deviation = (LIMIT_MAX_S - HEARTBEAT_S) / 4
+        self.hedge_min = hedge_min
+
+    def observe(self, interval: float):
+        """Takes in the seconds between two events of one stream."""
+        if interval > OBSERVED_MAX_S:
+            interval = OBSERVED_MAX_S
+        error = interval - self.mean
+        self.mean += error * MEAN_GAIN
+        if error < 0:
+            error = -error
+        self.deviation += (error - self.deviation) * DEVIATION_GAIN
+
+    def limit(self) -> float:
+        """Returns the seconds of silence after which the stream counts as lost."""
+        return min(max(self.mean + 4 * self.deviation, LIMIT_MIN_S), LIMIT_MAX_S)
+
+    def hedge_after(self) -> float:
+        """Returns the seconds of silence after which a hedge may start, at most the limit."""
+        limit = self.limit()
+        return min(limit, max(limit / 2, self.mean + 2 * self.deviation, self.hedge_min))
+
+
+class FixedIntervals:
+    """Constant limit with the interface of `Intervals`."""
+
+    __slots__ = ("timeout",)
+
+    def __init__(self, timeout: float):
+        self.timeout = timeout
+
+    def observe(self, interval: float):
+        """Learns nothing."""
+
+    def limit(self) -> float:
+        """Returns the constant limit, in seconds."""
+        return self.timeout
+
+    def hedge_after(self) -> float:
+        """Returns half the constant limit, in seconds."""
+        return self.timeout / 2
+
+
+class _Detector:
+    __slots__ = ("_intervals_by_key", "moves", "false_moves")
+
+    def __init__(self):
+        self._intervals_by_key = {}
+        self.moves = 0
+        self.false_moves = 0
+
+    def intervals(self, engine: str, phase: str):
+        """Returns the shared estimate of an engine in a phase, which is created on first use."""
+        key = (engine, phase)
+        found = self._intervals_by_key.get(key)
+        if found is None:
+            found = self._intervals_by_key[key] = self._create(phase)
+        return found
+
+    def forget(self, engine: str):
+        """Drops the estimates of an engine that has left the directory."""
+        for phase in (PREFILL, DECODE):
+            self._intervals_by_key.pop((engine, phase), None)
+
+    def moved(self):
+        """Counts a stream that was moved because its engine was silent."""
+        self.moves += 1
+
+    def false_move(self):
+        """Counts a move after which the silent engine answered."""
+        self.false_moves += 1
+
+
+@register("adaptive")
+class AdaptiveDetector(_Detector):
+    """Detector that learns a limit per engine and phase.
+
+    Attributes:
+        moves: Number of streams moved because of silence.
+        false_moves: Number of these moves after which the engine answered.
+    """
+
+    __slots__ = ()
+
+    def _create(self, phase):
+        # In prefill an engine sends heartbeats only. A hedge before the next heartbeat is due
+        # would start in every undisturbed prefill.
+        return Intervals(LIMIT_MIN_S if phase == PREFILL else 0.0)
+
+
+@register("fixed_timeout")
+class FixedTimeoutDetector(_Detector):
+    """Baseline for comparisons: one constant limit for all engines and phases.
+
+    Attributes:
+        moves: Number of streams moved because of silence.
+        false_moves: Number of these moves after which the engine answered.
+    """
+
+    __slots__ = ("timeout",)
+
+    def __init__(self, timeout: float = LIMIT_MAX_S):
+        super().__init__()
+        self.timeout = timeout
+
+    def _create(self, phase):
+        return FixedIntervals(self.timeout)
