--- a/chiveswitch/core/detector.py
+++ b/chiveswitch/core/detector.py
@@ -4,8 +4,9 @@
 LIMIT_MIN_S = 0.3
 LIMIT_MAX_S = 1.0
 
-# Gains of the running mean and mean deviation. Many streams of an engine share one estimate, so
-# small gains still follow a change of the batch size within a second.
+# Least gains of the running mean and mean deviation. Many streams of an engine share one estimate,
+# so small gains still follow a change of the batch size within a second. Gains begin at 1/2 and
+# fall with the number of intervals, so that the limit of a new engine settles within ten tokens.
 MEAN_GAIN = 1 / 16
 DEVIATION_GAIN = 1 / 8
 
@@ -38,23 +39,32 @@
         hedge_min: Least silence before a hedge, in seconds.
     """
 
-    __slots__ = ("mean", "deviation", "hedge_min")
+    __slots__ = ("mean", "deviation", "hedge_min", "_gain")
 
     def __init__(self, hedge_min: float):
         # An engine of which nothing is known yet gets the longest limit.
         self.mean = HEARTBEAT_S
         self.deviation = (LIMIT_MAX_S - HEARTBEAT_S) / 4
         self.hedge_min = hedge_min
+        self._gain = 0.5
 
     def observe(self, interval: float):
         """Takes in the seconds between two events of one stream."""
         if interval > OBSERVED_MAX_S:
             interval = OBSERVED_MAX_S
         error = interval - self.mean
-        self.mean += error * MEAN_GAIN
         if error < 0:
-            error = -error
-        self.deviation += (error - self.deviation) * DEVIATION_GAIN
+            distance = -error
+        else:
+            distance = error
+        gain = self._gain
+        if gain > MEAN_GAIN:
+            self._gain = gain / (1 + gain)
+            self.mean += error * gain
+            self.deviation += (distance - self.deviation) * max(gain, DEVIATION_GAIN)
+            return
+        self.mean += error * MEAN_GAIN
+        self.deviation += (distance - self.deviation) * DEVIATION_GAIN
 
     def limit(self) -> float:
         """Returns the seconds of silence after which the stream counts as lost."""
