--- /dev/null
+++ b/chiveswitch/storage/snapshots.py
@@ -0,0 +1,91 @@
+"""Snapshot files: written under a temporary name, synced, renamed, and verified when loaded."""
+
+import struct
+import zlib
+
+import expression
+import orjson
+
+from chiveswitch.core import codes
+from chiveswitch.core import consensus_messages as messages
+from chiveswitch.storage import files as storage_files
+
+_MAGIC = b"CSSNAP1\n"
+# Magic, CRC-32 of everything behind it, length of the description, length of the state.
+_HEAD = struct.Struct("<8sIIQ")
+_CHECKED_FROM = 12
+_SUFFIX = ".snapshot"
+
+
+def encode(snapshot: messages.Snapshot) -> bytes:
+    """Returns the content of a snapshot file."""
+    description = orjson.dumps(
+        {
+            "index": snapshot.index,
+            "term": snapshot.term,
+            "voters": snapshot.configuration.voters,
+            "learners": snapshot.configuration.learners,
+        }
+    )
+    head = _HEAD.pack(_MAGIC, 0, len(description), len(snapshot.data))
+    body = head[_CHECKED_FROM:] + description + snapshot.data
+    return _MAGIC + zlib.crc32(body).to_bytes(4, "little") + body
+
+
+def decode(content: bytes) -> messages.Snapshot | None:
+    """Returns the snapshot in a file's content, or None if the content is not valid."""
+    if len(content) < _HEAD.size:
+        return None
+    magic, checksum, description_length, data_length = _HEAD.unpack_from(content)
+    if magic != _MAGIC or len(content) != _HEAD.size + description_length + data_length:
+        return None
+    if zlib.crc32(memoryview(content)[_CHECKED_FROM:]) != checksum:
+        return None
+    start = _HEAD.size + description_length
+    try:
+        fields = orjson.loads(content[_HEAD.size : start])
+        configuration = messages.Configuration(fields["voters"], fields["learners"])
+        return messages.Snapshot(fields["index"], fields["term"], configuration, content[start:])
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def save(files: storage_files.Files, folder: str, snapshot: messages.Snapshot) -> expression.Result:
+    """Writes a snapshot durably and deletes the older ones.
+
+    Returns:
+        `Ok(None)`, or a failure with `DISK_FULL` or `INTERNAL`; the older snapshot is then intact.
+    """
+    name = f"{snapshot.index:020d}{_SUFFIX}"
+    try:
+        storage_files.write_file(files, folder, name, encode(snapshot))
+        for other in files.names(folder):
+            if other.endswith(_SUFFIX) and other < name:
+                files.remove(f"{folder}/{other}")
+        files.sync_folder(folder)
+    except OSError as error:
+        return storage_files.as_failure(error, "Writing a snapshot")
+    return expression.Ok(None)
+
+
+def load_latest(files: storage_files.Files, folder: str) -> expression.Result:
+    """Loads the latest snapshot and deletes temporary files.
+
+    Returns:
+        `Ok(Snapshot)`. `Error` with `LOG_CORRUPT` when there is none or the latest is damaged: the
+        log before it may be deleted, so that an older snapshot would lose entries.
+    """
+    try:
+        names = files.names(folder)
+        for name in names:
+            if name.endswith(".tmp"):
+                files.remove(f"{folder}/{name}")
+        found = [name for name in names if name.endswith(_SUFFIX)]
+        if not found:
+            return codes.failure(codes.Code.LOG_CORRUPT, "There is no snapshot.")
+        snapshot = decode(files.read(f"{folder}/{found[-1]}"))
+    except OSError as error:
+        return storage_files.as_failure(error, "Loading a snapshot")
+    if snapshot is None or found[-1] != f"{snapshot.index:020d}{_SUFFIX}":
+        return codes.failure(codes.Code.LOG_CORRUPT, f"Snapshot {found[-1]} is damaged.")
+    return expression.Ok(snapshot)
--- /dev/null
+++ b/chiveswitch/storage/wal.py
@@ -0,0 +1,422 @@
+"""Segmented write-ahead log of term, vote and entries.
+
+A segment starts with a header record (node id, checksum salt, hard state) that is durable before
+any other record is written behind it. Each record carries a magic number, its length, a CRC-32, a
+sequence number that rises by one through all segments, and the last sequence number that was
+durable when it was written. At recovery, an invalid record is a torn tail only if nothing behind it
+proves that it had been durable.
+"""
+
+import errno
+import os
+import struct
+import zlib
+
+import expression
+import orjson
+
+from chiveswitch.core import codes
+from chiveswitch.core import consensus_messages as messages
+from chiveswitch.storage import files as storage_files
+
+_MAGIC = b"\xc5\x57\xa1\x0e"
+# Magic, CRC-32 of everything behind it, body length, kind, sequence, last durable sequence.
+_HEAD = struct.Struct("<4sIIBQQ")
+_CHECKED_FROM = 8
+_ENTRY = struct.Struct("<BQQ")
+_RESET = struct.Struct("<QQ")
+
+_KIND_HEADER = 1
+_KIND_HARD_STATE = 2
+_KIND_ENTRY = 3
+_KIND_RESET = 4
+
+_SUFFIX = ".wal"
+
+# Headers are padded to one size, so that a file of at most this size holds no other record.
+_HEADER_BYTES = 512
+
+
+class RawRecord:
+    """A record as found in a segment; `end` is the offset behind it."""
+
+    __slots__ = ("kind", "sequence", "durable", "body", "end")
+
+    def __init__(self, kind: int, sequence: int, durable: int, body: bytes, end: int):
+        self.kind = kind
+        self.sequence = sequence
+        self.durable = durable
+        self.body = body
+        self.end = end
+
+
+class Segment:
+    """A segment file; `last_index` is the highest entry index ever written to it."""
+
+    __slots__ = ("name", "last_index")
+
+    def __init__(self, name: str, last_index: int = 0):
+        self.name = name
+        self.last_index = last_index
+
+
+class Recovered:
+    """What the segments hold.
+
+    Attributes:
+        hard_state: Last term and vote.
+        reset: Last `LogReset`, or None.
+        entries: Entries, contiguous by index.
+        cut_bytes: Bytes of a torn tail that were cut off.
+    """
+
+    __slots__ = ("hard_state", "reset", "entries", "cut_bytes")
+
+    def __init__(self):
+        self.hard_state = messages.HardState(0, None)
+        self.reset = None
+        self.entries = []
+        self.cut_bytes = 0
+
+    def last_position(self) -> tuple[int, int]:
+        """Returns index and term of the last entry, or those of the reset before it."""
+        if self.entries:
+            return self.entries[-1].index, self.entries[-1].term
+        return (self.reset.index, self.reset.term) if self.reset is not None else (0, 0)
+
+
+def encode_record(salt: int, kind: int, sequence: int, durable: int, body: bytes) -> bytes:
+    """Returns the bytes of a record; `salt` is the start value of its checksum."""
+    head = _HEAD.pack(_MAGIC, 0, len(body), kind, sequence, durable)
+    checksum = zlib.crc32(body, zlib.crc32(head[_CHECKED_FROM:], salt))
+    return head[:4] + checksum.to_bytes(4, "little") + head[_CHECKED_FROM:] + body
+
+
+def decode_record(data: bytes, offset: int, salt: int) -> RawRecord | None:
+    """Returns the record at an offset, or None if there is no valid one."""
+    if offset + _HEAD.size > len(data):
+        return None
+    magic, checksum, length, kind, sequence, durable = _HEAD.unpack_from(data, offset)
+    end = offset + _HEAD.size + length
+    if magic != _MAGIC or end > len(data):
+        return None
+    view = memoryview(data)
+    if zlib.crc32(view[offset + _CHECKED_FROM : end], salt) != checksum:
+        return None
+    return RawRecord(kind, sequence, durable, data[offset + _HEAD.size : end], end)
+
+
+def _encode_body(record: messages.Record) -> tuple[int, bytes]:
+    if isinstance(record, messages.Entry):
+        return _KIND_ENTRY, _ENTRY.pack(record.kind, record.index, record.term) + record.data
+    if isinstance(record, messages.HardState):
+        return _KIND_HARD_STATE, orjson.dumps([record.term, record.vote])
+    return _KIND_RESET, _RESET.pack(record.index, record.term)
+
+
+def _replay(recovered: Recovered, raw: RawRecord) -> str | None:
+    """Adds a record to the recovered state; returns what is wrong with it, or None."""
+    try:
+        if raw.kind == _KIND_HARD_STATE:
+            recovered.hard_state = messages.HardState(*orjson.loads(raw.body))
+            return None
+        if raw.kind == _KIND_RESET:
+            recovered.reset = messages.LogReset(*_RESET.unpack(raw.body))
+            recovered.entries = []
+            return None
+        if raw.kind != _KIND_ENTRY:
+            return f"kind {raw.kind} is unknown"
+        number, index, term = _ENTRY.unpack_from(raw.body)
+        kind = messages.EntryKind(number)
+    except (struct.error, TypeError, ValueError) as error:
+        return f"the content is invalid ({error})"
+    entries = recovered.entries
+    if entries and index > entries[-1].index + 1:
+        return f"entry {index} follows entry {entries[-1].index}"
+    if not entries and recovered.reset is not None and index != recovered.reset.index + 1:
+        return f"entry {index} follows a reset to {recovered.reset.index}"
+    if entries and index <= entries[-1].index:
+        del entries[max(0, index - entries[0].index) :]
+    entries.append(messages.Entry(index, term, kind, raw.body[_ENTRY.size :]))
+    return None
+
+
+def _proves_durable(data: bytes, offset: int, salt: int, sequence: int) -> bool:
+    """Says whether a valid record behind an offset was written after `sequence` was durable."""
+    while True:
+        offset = data.find(_MAGIC, offset + 1)
+        if offset < 0:
+            return False
+        raw = decode_record(data, offset, salt)
+        if raw is not None and raw.sequence > sequence and raw.durable >= sequence:
+            return True
+
+
+def _corrupt(name: str, offset: int, fault: str) -> expression.Result:
+    return codes.failure(
+        codes.Code.LOG_CORRUPT, f"Segment {name} is corrupt at byte {offset}: {fault}."
+    )
+
+
+class Wal:
+    """The open log; used by one task.
+
+    Records are added by `append` and become durable together at `commit`.
+    """
+
+    __slots__ = (
+        "_files",
+        "_folder",
+        "_node_id",
+        "_segment_bytes",
+        "_segments",
+        "_handle",
+        "_size",
+        "_salt",
+        "_sequence",
+        "_durable",
+        "_hard_state",
+        "_pending",
+        "_fault",
+    )
+
+    def __init__(self, files: storage_files.Files, folder: str, node_id: str, segment_bytes: int):
+        self._files = files
+        self._folder = folder
+        self._node_id = node_id
+        self._segment_bytes = segment_bytes
+        self._segments = []
+        self._handle = None
+        self._size = 0
+        self._salt = 0
+        self._sequence = 0
+        self._durable = 0
+        self._hard_state = messages.HardState(0, None)
+        self._pending = []
+        self._fault = None
+
+    def append(self, records: list[messages.Record]) -> None:
+        """Adds `HardState`, `Entry` and `LogReset` records to the next commit."""
+        self._pending.extend(records)
+
+    def commit(self) -> expression.Result:
+        """Writes all added records and makes them durable with one sync.
+
+        Returns:
+            `Ok(sequence)` of the last durable record. `Error` with `DISK_FULL` when there was no
+            room: nothing was acknowledged, the records stay added and another commit tries again.
+            `Error` with `INTERNAL` after a failed sync: what reached the disk is unknown then, so
+            that the log refuses all work until it is opened again.
+        """
+        if self._fault is not None:
+            return self._fault
+        if not self._pending:
+            return expression.Ok(self._durable)
+        try:
+            if self._size >= self._segment_bytes:
+                self._start_segment()
+        except OSError as error:
+            return storage_files.as_failure(error, "Creating a log segment")
+        sequence = self._sequence
+        chunks = []
+        last_index = self._segments[-1].last_index
+        hard_state = self._hard_state
+        for record in self._pending:
+            sequence += 1
+            kind, body = _encode_body(record)
+            chunks.append(encode_record(self._salt, kind, sequence, self._durable, body))
+            if kind == _KIND_ENTRY:
+                last_index = max(last_index, record.index)
+            elif kind == _KIND_HARD_STATE:
+                hard_state = record
+        data = b"".join(chunks)
+        try:
+            storage_files.write_all(self._files, self._handle, data)
+        except OSError as error:
+            return self._undo_write(error)
+        try:
+            self._files.sync(self._handle)
+        except OSError as error:
+            # The kernel may drop the pages of a failed sync and report success the next time.
+            self._fault = storage_files.as_failure(error, "Syncing the log")
+            return self._fault
+        self._pending = []
+        self._size += len(data)
+        self._sequence = sequence
+        self._durable = sequence
+        self._segments[-1].last_index = last_index
+        self._hard_state = hard_state
+        return expression.Ok(sequence)
+
+    def release(self, index: int) -> expression.Result:
+        """Deletes the oldest segments as far as a durable snapshot at `index` covers them."""
+        removed = 0
+        try:
+            while len(self._segments) > 1 and self._segments[0].last_index <= index:
+                self._files.remove(f"{self._folder}/{self._segments[0].name}")
+                self._segments.pop(0)
+                removed += 1
+            if removed:
+                self._files.sync_folder(self._folder)
+        except OSError as error:
+            return storage_files.as_failure(error, "Deleting a log segment")
+        return expression.Ok(removed)
+
+    def close(self) -> None:
+        """Closes the active segment; records that were not committed are dropped."""
+        if self._handle is not None:
+            self._files.close(self._handle)
+            self._handle = None
+
+    def _undo_write(self, error: OSError) -> expression.Result:
+        """Cuts off a partly written batch."""
+        failure = storage_files.as_failure(error, "Writing the log")
+        try:
+            self._files.truncate(self._handle, self._size)
+        except OSError as second:
+            self._fault = storage_files.as_failure(second, "Cutting the log")
+        return failure
+
+    def _start_segment(self) -> None:
+        """Creates the next segment with a durable header; raises `OSError`."""
+        sequence = self._sequence + 1
+        name = f"{sequence:020d}{_SUFFIX}"
+        salt_bytes = os.urandom(4)
+        body = orjson.dumps(
+            {
+                "node_id": self._node_id,
+                "salt": int.from_bytes(salt_bytes, "little"),
+                "hard_state": [self._hard_state.term, self._hard_state.vote],
+            }
+        )
+        if len(body) > _HEADER_BYTES - _HEAD.size:
+            raise OSError(errno.EINVAL, "the node id is too long")
+        padded = body.ljust(_HEADER_BYTES - _HEAD.size)
+        data = encode_record(0, _KIND_HEADER, sequence, self._durable, padded)
+        path = f"{self._folder}/{name}"
+        handle = self._files.create(path)
+        try:
+            storage_files.write_all(self._files, handle, data)
+            self._files.sync(handle)
+            self._files.sync_folder(self._folder)
+        except OSError:
+            self._files.close(handle)
+            storage_files.remove_quietly(self._files, path)
+            raise
+        self.close()
+        self._handle = handle
+        self._size = len(data)
+        self._salt = int.from_bytes(salt_bytes, "little")
+        self._sequence = sequence
+        self._durable = sequence
+        self._segments.append(Segment(name))
+
+    def _recover(self) -> expression.Result:
+        """Reads all segments, cuts a torn tail and opens the last segment for appending."""
+        recovered = Recovered()
+        names = [name for name in self._files.names(self._folder) if name.endswith(_SUFFIX)]
+        if not names:
+            return codes.failure(codes.Code.LOG_CORRUPT, "The log has no segment.")
+        for name in names:
+            is_last = name == names[-1]
+            data = self._files.read(f"{self._folder}/{name}")
+            header = decode_record(data, 0, 0)
+            if header is None:
+                # The header is durable before records follow, so that only a header on its own can
+                # be torn. The segment before it then holds everything.
+                if is_last and self._segments and len(data) <= _HEADER_BYTES:
+                    self._files.remove(f"{self._folder}/{name}")
+                    self._files.sync_folder(self._folder)
+                    recovered.cut_bytes += len(data)
+                    break
+                return _corrupt(name, 0, "the header is invalid")
+            fault = self._take_header(recovered, header, name)
+            if fault is not None:
+                return _corrupt(name, 0, fault)
+            segment = Segment(name)
+            self._segments.append(segment)
+            offset = header.end
+            while offset < len(data):
+                raw = decode_record(data, offset, self._salt)
+                if raw is None:
+                    expected = self._sequence + 1
+                    torn = is_last and not _proves_durable(data, offset, self._salt, expected)
+                    if not torn:
+                        return _corrupt(name, offset, "the record is invalid")
+                    break
+                if raw.sequence != self._sequence + 1:
+                    return _corrupt(name, offset, "the sequence number is out of order")
+                fault = _replay(recovered, raw)
+                if fault is not None:
+                    return _corrupt(name, offset, fault)
+                if raw.kind == _KIND_ENTRY:
+                    segment.last_index = max(segment.last_index, recovered.last_position()[0])
+                self._sequence = raw.sequence
+                offset = raw.end
+            recovered.cut_bytes += len(data) - offset
+            self._size = offset
+        self._hard_state = recovered.hard_state
+        self._handle = self._files.open(f"{self._folder}/{self._segments[-1].name}")
+        if recovered.cut_bytes:
+            self._files.truncate(self._handle, self._size)
+        # Records of an interrupted commit may be readable without being durable. They count as
+        # recovered, so that they must be durable before anything depends on them.
+        self._files.sync(self._handle)
+        self._durable = self._sequence
+        return expression.Ok(recovered)
+
+    def _take_header(self, recovered: Recovered, header: RawRecord, name: str) -> str | None:
+        if header.kind != _KIND_HEADER or header.end != _HEADER_BYTES:
+            return "the header is invalid"
+        if name != f"{header.sequence:020d}{_SUFFIX}":
+            return "the header does not belong to this file"
+        if self._segments and header.sequence != self._sequence + 1:
+            return "the segment before it is missing or incomplete"
+        try:
+            fields = orjson.loads(header.body)
+            if fields["node_id"] != self._node_id:
+                return "the segment belongs to another node"
+            self._salt = fields["salt"]
+            recovered.hard_state = messages.HardState(*fields["hard_state"])
+        except (KeyError, TypeError, ValueError):
+            return "the header is invalid"
+        self._sequence = header.sequence
+        return None
+
+
+def create(files: storage_files.Files, folder: str, node_id: str) -> expression.Result:
+    """Creates a log with one empty segment; returns `Ok(None)` or a failure."""
+    log = Wal(files, folder, node_id, 0)
+    try:
+        log._start_segment()
+        log.close()
+    except OSError as error:
+        return storage_files.as_failure(error, "Creating the log")
+    return expression.Ok(None)
+
+
+def open_log(
+    files: storage_files.Files, folder: str, node_id: str, segment_bytes: int = 4 * 1024 * 1024
+) -> expression.Result:
+    """Recovers and opens a log.
+
+    Args:
+        files: File operations.
+        folder: Folder of the segments.
+        node_id: Id that the segments must carry.
+        segment_bytes: Size in bytes from which a new segment is started.
+
+    Returns:
+        `Ok((Wal, Recovered))`. `Error` with `LOG_CORRUPT` when a record that had been durable
+        cannot be read, `DISK_FULL` or `INTERNAL` when a file operation fails.
+    """
+    log = Wal(files, folder, node_id, segment_bytes)
+    try:
+        result = log._recover()
+    except OSError as error:
+        log.close()
+        return storage_files.as_failure(error, "Opening the log")
+    if result.is_error():
+        log.close()
+        return result
+    return expression.Ok((log, result.ok))
--- /dev/null
+++ b/chiveswitch/storage/wal_test.py
@@ -0,0 +1,364 @@
+"""Tests of log, snapshots and data folder on a file system that fails and loses power."""
+
+import errno
+import itertools
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from chiveswitch.core import codes
+from chiveswitch.core import consensus_messages as messages
+from chiveswitch.storage import data_folder, files, snapshots, wal
+
+FIRST = messages.Configuration({"n1": "address"})
+
+
+class FakeFile:
+    def __init__(self):
+        self.data, self.durable = bytearray(), b""
+
+
+class FakeFiles:
+    """Files in memory; contents and names are durable only once they are synced."""
+
+    def __init__(self):
+        self.names_now, self.names_durable, self.folders = {}, {}, set()
+        self.handles, self.numbers, self.locked = {}, itertools.count(1), set()
+        self.room, self.max_write, self.fail_sync, self.syncs = 1 << 40, 1 << 40, False, 0
+        self.operations_left = 1 << 40
+
+    def _step(self):
+        self.operations_left -= 1
+        if self.operations_left < 0:
+            raise OSError(errno.EIO, "power lost")
+
+    def make_folder(self, path):
+        self.folders.add(path)
+
+    def names(self, path):
+        prefix = path + "/"
+        inside = [name[len(prefix) :] for name in self.names_now if name.startswith(prefix)]
+        folders = [name[len(prefix) :] for name in self.folders if name.startswith(prefix)]
+        return sorted(name for name in {*inside, *folders} if "/" not in name)
+
+    def read(self, path):
+        return bytes(self.names_now[path].data)
+
+    def create(self, path):
+        self._step()
+        self.names_now[path] = FakeFile()
+        return self.open(path)
+
+    def open(self, path):
+        handle = next(self.numbers)
+        self.handles[handle] = self.names_now[path]
+        return handle
+
+    def write(self, handle, data):
+        self._step()
+        size = min(len(data), self.max_write, self.room)
+        if not size:
+            raise OSError(errno.ENOSPC, "no space left")
+        self.room -= size
+        self.handles[handle].data += bytes(data[:size])
+        return size
+
+    def sync(self, handle):
+        self._step()
+        self.syncs += 1
+        if self.fail_sync:
+            raise OSError(errno.EIO, "sync failed")
+        self.handles[handle].durable = bytes(self.handles[handle].data)
+
+    def truncate(self, handle, size):
+        file = self.handles[handle]
+        self.room += len(file.data) - size
+        del file.data[size:]
+
+    def close(self, handle):
+        self.locked.discard(self.handles.pop(handle, None))
+
+    def rename(self, old, new):
+        self._step()
+        self.names_now[new] = self.names_now.pop(old)
+
+    def remove(self, path):
+        self._step()
+        del self.names_now[path]
+
+    def sync_folder(self, path):
+        self._step()
+        inside = {name for name in {*self.names_now, *self.names_durable}}
+        for name in inside:
+            if name.rpartition("/")[0] != path:
+                continue
+            self.names_durable.pop(name, None)
+            if name in self.names_now:
+                self.names_durable[name] = self.names_now[name]
+
+    def lock(self, path):
+        file = self.names_now.setdefault(path, FakeFile())
+        if file in self.locked:
+            raise BlockingIOError
+        self.locked.add(file)
+        return self.open(path)
+
+    def lose_power(self, keep, garble):
+        """Drops what is not durable; `keep` bytes of unsynced appends survive, some as zeros."""
+        self.names_now = dict(self.names_durable)
+        for file in self.names_now.values():
+            survivors = file.data[len(file.durable) :][:keep]
+            if garble and survivors:
+                survivors[: max(1, len(survivors) // 2)] = bytes(max(1, len(survivors) // 2))
+            file.data = bytearray(file.durable) + survivors
+            file.durable = bytes(file.data)
+        self.handles, self.locked, self.operations_left = {}, set(), 1 << 40
+        self.room, self.fail_sync = 1 << 40, False
+
+
+def open_folder(fake, segment_bytes=800, ids=("n1",)):
+    numbers = iter(ids)
+    return data_folder.open_folder(
+        fake, "data", lambda: next(numbers), lambda node_id: FIRST, segment_bytes
+    )
+
+
+def entry(index, term=1, data=b"command"):
+    return messages.Entry(index, term, messages.EntryKind.COMMAND, data)
+
+
+def segments(fake):
+    return [f"data/log/{name}" for name in fake.names("data/log")]
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.integers(1, 4), st.integers(0, 3), st.binary(max_size=40)), max_size=30),
+    st.integers(0, 200),
+    st.booleans(),
+    st.integers(1, 60),
+    st.integers(1, 200),
+)
+def test_power_loss_keeps_what_was_acknowledged(steps, keep, garble, short_write, power_lost_at):
+    # Guards against a missing file or folder sync, at any operation, and against short writes.
+    fake = FakeFiles()
+    fake.max_write = short_write
+    folder = open_folder(fake).ok
+    fake.operations_left = power_lost_at
+    term, log, acknowledged, attempted = 1, [], [], []
+    snapshot_index = 0
+    for count, back, data in steps:
+        if back and len(log) - back >= snapshot_index:
+            del log[len(log) - back :]
+        term += 1
+        records = [entry(len(log) + 1 + number, term, data) for number in range(count)]
+        log += records
+        attempted = list(log)
+        folder.append([messages.HardState(term, "n1"), *records])
+        if folder.commit().is_error():
+            break
+        acknowledged = list(log)
+        if back == 3 and len(log) > snapshot_index:
+            snapshot = messages.Snapshot(len(log), term, FIRST, b"state")
+            if folder.save_snapshot(snapshot).is_error():
+                break
+            snapshot_index = len(log)
+    fake.lose_power(keep, garble)
+    opened = open_folder(fake, ids=())
+    assert opened.is_ok(), opened.error
+    stored = opened.ok.stored
+    assert stored.snapshot.index >= snapshot_index
+    found = stored.entries
+    base = stored.snapshot.index
+    # The interrupted commit may have replaced entries, but only those that its records replace.
+    unchanged = 0
+    while unchanged < min(len(acknowledged), len(attempted)):
+        if acknowledged[unchanged] != attempted[unchanged]:
+            break
+        unchanged += 1
+    assert found[: max(0, unchanged - base)] == acknowledged[base:unchanged]
+    assert found in (acknowledged[base:], attempted[base : base + len(found)])
+    if acknowledged:
+        assert stored.hard_state.term >= acknowledged[-1].term
+
+
+@hypothesis.given(st.integers(0, 10_000), st.integers(1, 255), st.integers(2, 20))
+def test_changed_byte_is_found_or_in_the_last_commit(position, mask, commits):
+    # Guards the checksum: no changed record is ever handed out, no synced one is dropped.
+    fake = FakeFiles()
+    folder = open_folder(fake).ok
+    for index in range(1, commits + 1):
+        folder.append([messages.HardState(index, "n1"), entry(index, index)])
+        folder.commit()
+    folder.close()
+    chosen = segments(fake)[position % len(segments(fake))]
+    data = fake.names_now[chosen].data
+    data[position % len(data)] ^= mask
+    opened = open_folder(fake)
+    if opened.is_error():
+        assert opened.error.code == codes.Code.LOG_CORRUPT
+        return
+    assert chosen == segments(fake)[-1]
+    expected = [entry(index, index) for index in range(1, commits + 1)]
+    assert opened.ok.stored.entries in (expected, expected[:-1])
+    assert opened.ok.stored.hard_state.term >= commits - 1
+
+
+@hypothesis.given(st.binary(max_size=200), st.integers(0, 50))
+def test_decoder_takes_any_bytes(noise, offset):
+    # Guards against exceptions and false records from damaged segments and snapshots.
+    assert wal.decode_record(noise, offset, 7) is None
+    assert snapshots.decode(noise) is None
+    good = wal.encode_record(7, 3, 5, 4, noise)
+    raw = wal.decode_record(b"x" * offset + good + noise, offset, 7)
+    assert (raw.sequence, raw.durable, raw.body) == (5, 4, noise)
+    fake = FakeFiles()
+    open_folder(fake).ok.close()
+    fake.names_now[segments(fake)[0]].data += noise
+    assert open_folder(fake).is_ok()
+    fake = FakeFiles()
+    open_folder(fake).ok.close()
+    fake.names_now[segments(fake)[0]].data[:] = noise
+    assert open_folder(fake).error.code == codes.Code.LOG_CORRUPT
+
+
+@pytest.mark.parametrize("room", range(0, 400, 23))
+def test_full_disk_acknowledges_nothing_and_the_retry_succeeds(room):
+    # Guards against a partly written batch that stays in the middle of the log.
+    fake = FakeFiles()
+    folder = open_folder(fake).ok
+    folder.append([entry(1)])
+    folder.commit()
+    fake.room = room
+    batch = [entry(index, 1, b"x" * 100) for index in range(2, 6)]
+    folder.append(batch)
+    assert folder.commit().error.code == codes.Code.DISK_FULL
+    snapshot = messages.Snapshot(1, 1, FIRST, b"s" * 400)
+    assert folder.save_snapshot(snapshot).error.code == codes.Code.DISK_FULL
+    folder.close()
+    reopened = open_folder(fake).ok
+    assert reopened.stored.entries == [entry(1)]
+    reopened.append(batch)
+    assert reopened.commit().error.code == codes.Code.DISK_FULL
+    fake.room = 1 << 40
+    assert reopened.commit().is_ok()
+    reopened.close()
+    assert open_folder(fake).ok.stored.entries == [entry(1), *batch]
+
+
+def test_failed_sync_stops_the_log():
+    # Guards against a second sync that reports success for pages the first one dropped.
+    fake = FakeFiles()
+    folder = open_folder(fake).ok
+    fake.fail_sync = True
+    folder.append([entry(1)])
+    assert folder.commit().error.code == codes.Code.INTERNAL
+    fake.fail_sync = False
+    assert folder.commit().error.code == codes.Code.INTERNAL
+
+
+def test_one_commit_syncs_once():
+    # Guards group commit.
+    fake = FakeFiles()
+    folder = open_folder(fake, 1 << 20).ok
+    before = fake.syncs
+    for index in range(1, 101):
+        folder.append([entry(index)])
+    assert folder.commit().is_ok()
+    assert fake.syncs == before + 1
+
+
+def test_snapshot_deletes_segments_and_damage_is_refused():
+    # Guards the bounded log, and against silently falling back to an older state.
+    fake = FakeFiles()
+    folder = open_folder(fake).ok
+    for index in range(1, 51):
+        folder.append([entry(index)])
+        folder.commit()
+    before = len(segments(fake))
+    assert folder.save_snapshot(messages.Snapshot(45, 1, FIRST, b"state")).is_ok()
+    assert len(segments(fake)) < before / 3
+    folder.close()
+    opened = open_folder(fake).ok
+    assert opened.stored.snapshot.data == b"state"
+    assert opened.stored.entries == [entry(index) for index in range(46, 51)]
+    opened.close()
+    name = fake.names("data/snapshots")[-1]
+    fake.names_now[f"data/snapshots/{name}"].data[-1] ^= 1
+    assert open_folder(fake).error.code == codes.Code.LOG_CORRUPT
+
+
+@pytest.mark.parametrize("stale", [2, 5, 9])
+def test_crash_between_a_leaders_snapshot_and_the_reset_record(stale):
+    # Guards against dropping entries that follow a snapshot which replaced another log.
+    fake = FakeFiles()
+    folder = open_folder(fake).ok
+    folder.append([entry(index) for index in range(1, stale + 1)])
+    folder.commit()
+    folder.save_snapshot(messages.Snapshot(5, 2, FIRST, b"state"))
+    folder.close()
+    folder = open_folder(fake).ok
+    assert folder.stored.entries == []
+    folder.append([entry(6, 2)])
+    folder.commit()
+    folder.close()
+    assert open_folder(fake).ok.stored.entries == [entry(6, 2)]
+
+
+def test_missing_parts_are_refused_and_an_empty_folder_gets_a_new_id():
+    # Guards against a node that forgot its votes and comes back under its old id.
+    fake = FakeFiles()
+    assert open_folder(fake).ok.node_id == "n1"
+    assert open_folder(fake).error.code == codes.Code.SETTING_INVALID
+    for lost in ("data/log", "data/snapshots", "data/id"):
+        copy = FakeFiles()
+        copy.folders = {"data", "data/log", "data/snapshots"}
+        copy.names_now = {
+            name: file for name, file in fake.names_now.items() if not name.startswith(lost)
+        }
+        assert open_folder(copy).error.code == codes.Code.LOG_CORRUPT
+    assert open_folder(FakeFiles(), ids=("n2",)).ok.node_id == "n2"
+
+
+@pytest.mark.parametrize("operations", range(25))
+def test_interrupted_first_start_begins_again(operations):
+    # Guards against a folder that cannot be opened after a crash at the first start.
+    fake = FakeFiles()
+    fake.operations_left = operations
+    opened = open_folder(fake)
+    fake.lose_power(10, False)
+    again = open_folder(fake, ids=("n2",))
+    assert again.is_ok()
+    assert opened.is_error() or again.ok.node_id == "n1"
+
+
+def test_restart_with_ten_thousand_entries(tmp_path):
+    # Guards the restart with real files, segments and a folder lock.
+    path = str(tmp_path / "data")
+    first = data_folder.open_folder(files.Files(), path, lambda: "n1", lambda _: FIRST).ok
+    for start in range(1, 10_001, 100):
+        first.append([entry(index, 1, b"x" * 500) for index in range(start, start + 100)])
+        assert first.commit().is_ok()
+    second = data_folder.open_folder(files.Files(), path, lambda: "n2")
+    assert second.error.code == codes.Code.SETTING_INVALID
+    first.close()
+    again = data_folder.open_folder(files.Files(), path, lambda: "n2").ok
+    assert again.node_id == "n1"
+    assert [found.index for found in again.stored.entries] == list(range(1, 10_001))
+
+
+def test_batch_whose_later_pages_alone_reached_the_disk_is_cut():
+    # Guards against refusing a log after a power loss that kept pages of one batch out of order.
+    fake = FakeFiles()
+    folder = open_folder(fake, 1 << 20).ok
+    folder.append([entry(1)])
+    folder.commit()
+    size = len(fake.names_now[segments(fake)[0]].data)
+    fake.fail_sync = True
+    folder.append([entry(index) for index in range(2, 8)])
+    assert folder.commit().is_error()
+    fake.lose_power(10_000, False)
+    fake.names_now[segments(fake)[0]].data[size : size + 10] = bytes(10)
+    opened = open_folder(fake).ok
+    assert opened.stored.entries == [entry(1)]
+    assert opened.cut_bytes > 200
