--- /dev/null
+++ b/chiveswitch/core/control_state_test.py
@@ -0,0 +1,425 @@
+"""Tests of the control state against an oracle of plain facts, over replicas that replay."""
+
+import hashlib
+
+import hypothesis
+import orjson
+import pytest
+from hypothesis import stateful, strategies
+
+from chiveswitch.core import bundles, bundles_test, codes, control_state
+
+wire = control_state.control_thrift
+LIMITS = control_state.Limits(operations=50, audit=20)
+WRITERS = ("ann", "cy")
+PEOPLE = ("ann", "bob", "cy")
+IDS = strategies.sampled_from(["o1", "o2", "o3", "o4"])
+GATEWAYS = strategies.sampled_from(["g1", "g2"])
+KEYS = strategies.sampled_from(["k1", "k2"])
+
+
+def content(version: int, weight: float = 1) -> bytes:
+    return orjson.dumps(bundles_test.example(version, weight))
+
+
+def first_operators():
+    keys = [wire.OperatorKey(**entry) for entry in bundles_test.example()["operators"]]
+    return wire.Bootstrap(operators=keys)
+
+
+class Log:
+    """A log with two replicas, of which one is replaced by its snapshot now and then."""
+
+    def __init__(self, limits=LIMITS):
+        self.limits = limits
+        self.replicas = [control_state.ControlState(limits), control_state.ControlState(limits)]
+        self.time_ms = 1_000
+        self.index = 0
+
+    def commit(self, record):
+        self.index += 1
+        data = control_state.encode(record, self.time_ms)
+        results = [replica.apply(self.index, 1, data) for replica in self.replicas]
+        first, second = (control_state.encode_result(result) for result in results)
+        assert first == second
+        assert self.replicas[0].digest() == self.replicas[1].digest()
+        return control_state.decode_result(first)
+
+    def restart(self):
+        data = self.replicas[1].snapshot()
+        self.replicas[1] = control_state.restore(data, self.limits).ok
+        assert self.replicas[1].snapshot() == data
+
+
+def code(result) -> codes.Code:
+    return codes.Code.OK if result.is_ok() else result.error.code
+
+
+def open_(key="k1", gateway="g1", operation="o1", body=b"b"):
+    return wire.OpenIntent(
+        account="shop", key=key, body_digest=body, gateway=gateway, operation_id=operation
+    )
+
+
+def release(key="k1", gateway="g1", operation="o1"):
+    return wire.ReleaseIntent(account="shop", key=key, gateway=gateway, operation_id=operation)
+
+
+def finish(grant, key="k1", gateway="g1", body=b"done", known=True):
+    return wire.FinishIntent(
+        account="shop", key=key, gateway=gateway, grant=grant, known=known, status=200, body=body
+    )
+
+
+def write(version, weight=1, actor="ann", operation="w1"):
+    return wire.WriteBundle(operation_id=operation, actor=actor, content=content(version, weight))
+
+
+def digest_of(version, weight=1):
+    return bundles.content_digest(bundles.parse(content(version, weight)).ok)
+
+
+def approve(version, weight=1, actor="bob", operation="a1", signer=None):
+    digest = digest_of(version, weight)
+    signature = bundles.sign(bundles_test.private_key(signer or actor), digest)
+    return wire.ApproveBundle(
+        operation_id=operation, actor=actor, version=version, digest=digest, signature=signature
+    )
+
+
+def roll(version, weight=1, actor="cy", operation="r1"):
+    digest = digest_of(version, weight)
+    return wire.RollBundle(operation_id=operation, actor=actor, version=version, digest=digest)
+
+
+class Operators(stateful.RuleBasedStateMachine):
+    """Operators race with equal versions, resend and lose answers."""
+
+    def __init__(self):
+        super().__init__()
+        self.log = Log()
+        assert self.log.commit(first_operators()).is_ok()
+        self.winners = {}
+        self.approved = {}
+        self.answers = {}
+        self.serial = 0
+        self.in_force = 0
+
+    def send(self, record):
+        """Commits a command and checks what a resend is entitled to."""
+        key = (record.actor, record.operation_id)
+        result = self.log.commit(record)
+        if key in self.answers:
+            first, encoded = self.answers[key]
+            if first == record:
+                assert control_state.encode_result(result) == encoded
+            else:
+                assert code(result) == codes.Code.OPERATION_REUSED
+            return None
+        if result.is_ok():
+            self.answers[key] = (record, control_state.encode_result(result))
+        return result
+
+    @stateful.rule(
+        version=strategies.integers(1, 4),
+        weight=strategies.integers(1, 2),
+        actor=strategies.sampled_from(PEOPLE),
+        operation=IDS,
+    )
+    def write(self, version, weight, actor, operation):
+        result = self.send(write(version, weight, actor, operation))
+        if result is None:
+            return
+        if actor not in WRITERS:
+            assert code(result) == codes.Code.NOT_PERMITTED
+        elif version not in self.winners and version == len(self.winners) + 1:
+            assert result.is_ok()
+            self.winners[version] = (actor, weight)
+        elif self.winners.get(version, (None, None))[1] == weight:
+            assert result.ok.owner == self.winners[version][0]
+        else:
+            assert code(result) == codes.Code.VERSION_CONFLICT
+            if version in self.winners:
+                assert f"by {self.winners[version][0]}" in result.error.message
+
+    @stateful.rule(
+        version=strategies.integers(1, 4),
+        weight=strategies.integers(1, 2),
+        actor=strategies.sampled_from(PEOPLE),
+        operation=IDS,
+        signer=strategies.sampled_from(PEOPLE),
+    )
+    def approve(self, version, weight, actor, operation, signer):
+        result = self.send(approve(version, weight, actor, operation, signer))
+        if result is None:
+            return
+        winner, content_weight = self.winners.get(version, (None, None))
+        allowed = actor in ("bob", "cy") and actor == signer and content_weight == weight
+        assert result.is_ok() == (allowed and winner != actor)
+        if result.is_ok():
+            self.approved[version] = actor
+
+    @stateful.rule(
+        version=strategies.integers(1, 4), weight=strategies.integers(1, 2), operation=IDS
+    )
+    def roll(self, version, weight, operation):
+        result = self.send(roll(version, weight, "cy", operation))
+        if result is None:
+            return
+        fits = version in self.approved and self.winners[version][1] == weight
+        assert result.is_ok() == (fits and version > self.in_force)
+        if result.is_ok():
+            assert result.ok.number == self.serial + 1
+            self.serial, self.in_force = result.ok.number, version
+
+    # Further versions would push the oldest ones out of the state.
+    @stateful.precondition(lambda self: len(self.winners) < LIMITS.bundles)
+    @stateful.rule(actor=strategies.sampled_from(PEOPLE), skip_roll=strategies.booleans())
+    def advance(self, actor, skip_roll):
+        """Takes a whole step with fresh operation ids, which random commands seldom complete."""
+        fresh = f"n{self.log.index}"
+        version = len(self.winners) + 1
+        self.write(version, 1, "ann", fresh + "w")
+        self.approve(version, 1, actor, fresh + "a", actor)
+        if not skip_roll:
+            self.roll(version, 1, fresh + "r")
+
+    @stateful.rule(version=strategies.integers(1, 3))
+    def roll_again(self, version):
+        """A roll of an older version with a fresh operation id must never be accepted."""
+        weight = self.winners.get(version, (None, 1))[1]
+        self.roll(version, weight, f"again{self.log.index}")
+
+    @stateful.rule()
+    def restart(self):
+        self.log.restart()
+
+
+class Intents(stateful.RuleBasedStateMachine):
+    """Gateways ask, resend, release and finish; the oracle counts who may send."""
+
+    def __init__(self):
+        super().__init__()
+        self.log = Log()
+        self.permits = {}
+        self.outcomes = {}
+        self.highest = {}
+        self.barred = set()
+
+    @stateful.rule(key=KEYS, gateway=GATEWAYS, operation=IDS)
+    def open(self, key, gateway, operation):
+        result = self.log.commit(open_(key, gateway, operation)).ok
+        if key in self.outcomes:
+            assert (result.kind, result.body) == ("recorded", self.outcomes[key])
+        elif key in self.permits:
+            mine = self.permits[key][:2] == (gateway, operation)
+            assert result.kind == ("granted" if mine else "pending")
+            assert result.number == self.permits[key][2]
+        elif (key, gateway, operation) in self.barred:
+            assert result.kind == "released"
+        else:
+            assert result.kind == "granted" and result.number > self.highest.get(key, 0)
+            self.highest[key] = result.number
+            self.permits[key] = (gateway, operation, result.number)
+
+    @stateful.rule(key=KEYS, gateway=GATEWAYS, operation=IDS)
+    def release(self, key, gateway, operation):
+        result = self.log.commit(release(key, gateway, operation)).ok
+        if self.permits.get(key, (None, None))[:2] == (gateway, operation):
+            if key not in self.outcomes:
+                del self.permits[key]
+                self.barred.add((key, gateway, operation))
+        else:
+            self.barred.add((key, gateway, operation))
+        expected = "recorded" if key in self.outcomes else "released"
+        if key in self.permits and key not in self.outcomes:
+            expected = "pending"
+        assert result.kind == expected
+
+    @stateful.rule(key=KEYS, gateway=GATEWAYS, shift=strategies.integers(0, 1), body=KEYS)
+    def finish(self, key, gateway, shift, body):
+        holder, _, grant = self.permits.get(key, ("", "", 7))
+        result = self.log.commit(finish(grant + shift, key, gateway, body.encode()))
+        if key not in self.permits or holder != gateway or shift:
+            assert result.is_error()
+            return
+        self.outcomes.setdefault(key, body.encode())
+        assert (result.ok.kind, result.ok.body) == ("recorded", self.outcomes[key])
+
+    @stateful.rule(key=KEYS)
+    def reuse(self, key):
+        result = self.log.commit(open_(key, "g9", "o9", b"other"))
+        known = key in self.permits or key in self.highest
+        hypothesis.assume(known)
+        assert code(result) == codes.Code.KEY_REUSED
+
+    @stateful.rule(step=strategies.integers(-50_000, 3_000))
+    def clock(self, step):
+        """A new leader's clock may be behind; the steps stay below the retention."""
+        self.log.time_ms += step
+
+    @stateful.rule()
+    def restart(self):
+        self.log.restart()
+
+
+FAST = hypothesis.settings(max_examples=40, stateful_step_count=25, deadline=None)
+TestOperators = Operators.TestCase
+TestOperators.settings = FAST
+TestIntents = Intents.TestCase
+TestIntents.settings = FAST
+
+
+def test_pending_intent_outlives_every_retention_and_is_never_granted_again():
+    log = Log()
+    grant = log.commit(open_()).ok.number
+    for _ in range(30):
+        log.time_ms += 2 * LIMITS.finished_ms
+        assert log.commit(open_(gateway="g2")).ok.kind == "pending"
+    assert log.commit(open_(gateway="g2")).ok.flag
+    assert log.commit(finish(grant, known=False)).ok.flag
+    assert log.commit(release()).ok.kind == "pending"
+    assert log.commit(finish(grant)).ok.kind == "recorded"
+    for _ in range(15):
+        log.time_ms += 2 * LIMITS.finished_ms
+        log.commit(wire.NextFence(target="t"))
+    assert not log.replicas[0].intents
+
+
+def test_one_command_with_a_wrong_clock_expires_nothing():
+    log = Log()
+    log.commit(finish(log.commit(open_()).ok.number))
+    log.time_ms = 2**62
+    assert log.commit(open_(gateway="g2")).ok.kind == "recorded"
+
+
+def test_full_state_refuses_new_intents_and_large_outcomes_keep_the_status():
+    log = Log(control_state.Limits(intents=1, outcome_bytes=3))
+    grant = log.commit(open_()).ok.number
+    assert code(log.commit(open_("k2"))) == codes.Code.QUEUE_FULL
+    result = log.commit(finish(grant)).ok
+    assert (result.status, result.body, result.flag) == (200, b"", True)
+
+
+def test_writer_cannot_approve_even_under_a_new_name():
+    log = Log()
+    log.commit(first_operators())
+    log.commit(write(1, actor="cy"))
+    assert code(log.commit(approve(1, actor="cy"))) == codes.Code.APPROVER_IS_WRITER
+    log.commit(write(2, actor="cy", operation="w2"))
+    log.commit(approve(1))
+    assert log.commit(roll(1)).ok.number == 1
+    for replica in log.replicas:
+        renamed = replica.operators.pop("cy")
+        renamed.name = "dee"
+        replica.operators["dee"] = renamed
+    again = approve(2, actor="dee", signer="cy", operation="a2")
+    assert code(log.commit(again)) == codes.Code.APPROVER_IS_WRITER
+
+
+def test_older_or_equal_version_never_comes_back_into_force():
+    log = Log()
+    log.commit(first_operators())
+    for version in (1, 2, 3):
+        log.commit(write(version, operation=f"w{version}"))
+        log.commit(approve(version, operation=f"a{version}"))
+    assert log.commit(roll(2, operation="r1")).ok.number == 1
+    for version in (1, 2):
+        again = log.commit(roll(version, operation=f"again{version}"))
+        assert code(again) == codes.Code.STALE_SERIAL
+    assert log.commit(roll(3, operation="r3")).ok.number == 2
+    assert log.replicas[0].bundle_in_force().version == 3
+
+
+def test_bootstrap_works_once_and_needs_two_people():
+    log = Log()
+    alone = wire.Bootstrap(operators=first_operators().operators[2:])
+    assert code(log.commit(alone)) == codes.Code.BUNDLE_INVALID
+    assert log.commit(first_operators()).is_ok()
+    assert code(log.commit(first_operators())) == codes.Code.NOT_PERMITTED
+
+
+def test_durable_request_has_one_owner_per_generation():
+    log = Log()
+    accept = wire.AcceptRequest(account="shop", request_id="r", body=b"x", owner="g1")
+    other = wire.AcceptRequest(account="shop", request_id="r", body=b"y", owner="g1")
+
+    def claim(generation, owner, operation):
+        return wire.ClaimGeneration(
+            account="shop",
+            request_id="r",
+            expected_generation=generation,
+            owner=owner,
+            operation_id=operation,
+        )
+
+    def end(generation):
+        return wire.FinishRequest(account="shop", request_id="r", generation=generation)
+
+    assert log.commit(accept).ok.number == 1
+    assert code(log.commit(other)) == codes.Code.KEY_REUSED
+    assert log.commit(claim(1, "g2", "c1")).ok.number == 2
+    assert log.commit(claim(1, "g2", "c1")).ok.number == 2
+    assert code(log.commit(claim(1, "g3", "c2"))) == codes.Code.OWNERSHIP_LOST
+    assert log.commit(accept).ok.owner == "g2"
+    log.restart()
+    assert [record.body for record in log.replicas[1].unfinished_requests("g2")] == [b"x"]
+    assert not log.replicas[1].unfinished_requests("g1")
+    assert code(log.commit(end(1))) == codes.Code.OWNERSHIP_LOST
+    assert log.commit(end(2)).is_ok()
+    assert log.commit(claim(2, "g3", "c3")).ok.kind == "finished"
+
+
+def test_fences_rise_and_audit_is_bounded():
+    log = Log()
+    log.commit(first_operators())
+    fences = [log.commit(wire.NextFence(target="t")).ok for _ in range(3)]
+    numbers = [(fence.term, fence.number) for fence in fences]
+    assert numbers == sorted(set(numbers))
+    for version in range(1, 30):
+        log.commit(write(version, operation=f"w{version}"))
+    audit = log.replicas[0].audit
+    assert len(audit) == LIMITS.audit
+    assert (audit[-1].actor, audit[-1].action, audit[-1].version) == ("ann", "write", 29)
+
+
+def sample() -> list:
+    log = Log()
+    log.commit(first_operators())
+    log.commit(write(1))
+    log.commit(open_())
+    encoded = [control_state.encode(record, 5) for record in (write(1), open_(), first_operators())]
+    return [log.replicas[0].snapshot(), *encoded]
+
+
+SAMPLES = sample()
+
+
+@hypothesis.settings(max_examples=150)
+@hypothesis.given(strategies.sampled_from(SAMPLES), strategies.data())
+def test_decoders_refuse_damaged_input_without_an_exception(data, draw):
+    """A hostile count must not keep a replica busy, and no input may raise."""
+    at = draw.draw(strategies.integers(0, len(data)))
+    damage = draw.draw(strategies.binary(max_size=6))
+    skip = draw.draw(strategies.integers(0, 6))
+    damaged = data[:at] + damage + data[at + skip :]
+    control_state.decode(damaged)
+    control_state.decode_result(damaged)
+    control_state.restore(damaged, LIMITS)
+    state = control_state.ControlState(LIMITS)
+    state.apply(1, 1, damaged)
+    assert state.index == 1
+
+
+@pytest.mark.parametrize("data", [b"", b"\x0f\x00\x09" * 1000, b"\x0f\x00\x01\x0c\x7f\xff\xff\xff"])
+def test_hostile_counts_are_refused(data):
+    assert control_state.decode(control_state.HEADER.pack(1, 1, 0) + data).is_error()
+    assert control_state.restore(data, LIMITS).is_error()
+
+
+def test_digest_is_over_the_whole_state():
+    log = Log()
+    before = log.replicas[0].digest()
+    assert before != hashlib.sha256(b"").digest()
+    log.commit(wire.NextFence(target="t"))
+    assert log.replicas[0].digest() != before
