--- a/chiveswitch/core/control_state.py
+++ b/chiveswitch/core/control_state.py
@@ -593,11 +593,11 @@
     if intent is None and len(state.intents) >= state.limits.intents:
         return refusal(codes.Code.QUEUE_FULL, "the limit of recorded intents is reached")
     if intent is not None:
+        if intent.body_digest not in (record.body_digest, b""):
+            return refusal(codes.Code.KEY_REUSED, "the key was used with another body")
         mark = f"{record.gateway} {record.operation_id}"
         if mark in intent.released:
             return describe(state, intent)
-        if intent.body_digest not in (record.body_digest, b""):
-            return refusal(codes.Code.KEY_REUSED, "the key was used with another body")
         if holds(intent, record.gateway, record.operation_id):
             return answer("granted", number=intent.grant, owner=intent.gateway)
         if intent.state != RELEASED:
@@ -684,6 +684,9 @@
         mark = f"{record.gateway} {record.operation_id}"
         if mark not in intent.released:
             intent.released = [*intent.released, mark][-MAX_RELEASED_OPERATIONS:]
+    # The outcome of another body is never shown as that of this one.
+    if intent.body_digest not in (record.body_digest, b""):
+        return refusal(codes.Code.KEY_REUSED, "the key was used with another body")
     return describe(state, intent)
 
 
--- a/chiveswitch/core/control_state_test.py
+++ b/chiveswitch/core/control_state_test.py
@@ -61,8 +61,10 @@
     )
 
 
-def release(key="k1", gateway="g1", operation="o1"):
-    return wire.ReleaseIntent(account="shop", key=key, gateway=gateway, operation_id=operation)
+def release(key="k1", gateway="g1", operation="o1", body=b"b"):
+    return wire.ReleaseIntent(
+        account="shop", key=key, body_digest=body, gateway=gateway, operation_id=operation
+    )
 
 
 def finish(grant, key="k1", gateway="g1", body=b"done", known=True):
@@ -252,6 +254,8 @@
         known = key in self.permits or key in self.highest
         hypothesis.assume(known)
         assert code(result) == codes.Code.KEY_REUSED
+        result = self.log.commit(release(key, "g9", "o9", b"other"))
+        assert code(result) == codes.Code.KEY_REUSED
 
     @stateful.rule(step=strategies.integers(-50_000, 3_000))
     def clock(self, step):
--- a/chiveswitch/peers/control.thrift
+++ b/chiveswitch/peers/control.thrift
@@ -18,7 +18,7 @@
   6: required i32 status, 7: required binary body }
 // Names the permit by the operation id that asked for it, since a lost answer hides the grant.
 struct ReleaseIntent { 1: required string account, 2: required string key,
-  3: required string gateway, 4: required string operation_id }
+  3: required binary body_digest, 4: required string gateway, 5: required string operation_id }
 struct AcceptRequest { 1: required string account, 2: required string request_id,
   3: required binary body, 4: required string owner }
 struct ClaimGeneration { 1: required string account, 2: required string request_id,
