--- /dev/null
+++ b/chiveswitch/core/orders_test.py
@@ -0,0 +1,94 @@
+"""Tests of the orders to engines: fences, leadership, the shared budget and short absences."""
+
+import orjson
+
+from chiveswitch.core import bundles, bundles_test, orders
+
+LOAD = (("m", "a", "v1"),)
+
+
+class Bench:
+    """A planner that has led for long enough to order loads."""
+
+    def __init__(self, per_second=100.0):
+        self.planner = orders.Planner(orders.LoadBudget(per_second, 100.0, 0.0))
+        bundle = bundles.parse(orjson.dumps(bundles_test.example())).ok
+        self.planner.handle(orders.BundleInForce(bundle), 0.0)
+        self.planner.handle(orders.LeadershipGained(4.0), 0.0)
+
+    def report(self, now, engine="e1", loaded=(), honours=True):
+        event = orders.EngineReport(engine, loaded, "mixed", True, honours)
+        self.planner.handle(event, now)
+
+    def tick(self, now):
+        return self.planner.handle(orders.Tick(), now)
+
+
+def test_order_is_sent_with_its_fence_and_an_older_fence_is_never_used():
+    bench = Bench()
+    bench.report(11.0)
+    assert bench.tick(11.0) == [orders.RequestFence("e1")]
+    assert bench.tick(11.1) == []
+    assert bench.tick(12.0) == [orders.RequestFence("e1")]
+    bench.planner.handle(orders.FenceGranted("e1", (2, 7)), 12.2)
+    bench.planner.handle(orders.FenceGranted("e1", (1, 9)), 12.2)
+    assert bench.tick(12.3) == [orders.SendOrder("e1", (2, 7), LOAD, "mixed", None)]
+    bench.report(12.5, loaded=LOAD)
+    assert bench.tick(12.6) == []
+
+
+def test_engine_that_ignores_fences_needs_confirmed_leadership_and_is_repaired():
+    bench = Bench()
+    bench.planner.handle(orders.LeadershipGained(12.0), 0.0)
+    bench.report(11.0, honours=False)
+    bench.tick(11.0)
+    bench.planner.handle(orders.FenceGranted("e1", (2, 7)), 11.2)
+    assert bench.tick(11.9) == []
+    assert bench.tick(12.1) == [orders.ConfirmLeadership()]
+    bench.planner.handle(orders.LeadershipConfirmed(13.0), 12.2)
+    assert bench.tick(12.3) == [orders.SendOrder("e1", (2, 7), LOAD, "mixed", 13.0)]
+    answered = orders.OrderAnswered("e1", (2, 7), True)
+    assert bench.planner.handle(answered, 12.4) == [orders.ReadBack("e1")]
+    assert bench.tick(17.4) == [orders.ReadBack("e1")]
+    bench.report(17.5, honours=False)
+    assert bench.tick(17.6) == [orders.RequestFence("e1")]
+
+
+def test_engine_back_within_ten_seconds_causes_no_load():
+    bench = Bench()
+    bench.report(11.0, "e1", LOAD)
+    bench.report(11.0, "e2", LOAD)
+    for now in range(11, 19):
+        bench.report(now, "e2", LOAD)
+        bench.report(now, "e3")
+        assert bench.tick(now) == []
+    bench.report(19.0, "e1", LOAD)
+    bench.report(22.0, "e2", LOAD)
+    bench.report(22.0, "e3")
+    assert bench.tick(22.0) == []
+    bench.report(29.5, "e2", LOAD)
+    bench.report(29.5, "e3")
+    assert bench.tick(29.5) == [orders.RequestFence("e3")]
+
+
+def test_model_without_a_ready_engine_goes_first_within_the_budget():
+    bench = Bench(per_second=0.1)
+    content = bundles_test.example()
+    content["models"].append({"name": "z", "versions": ["v1"], "engines": 1})
+    service = {**content["services"][0], "name": "z", "model": "z", "adapter": ""}
+    content["services"].append(service)
+    bundle = bundles.parse(orjson.dumps(content)).ok
+    bench.planner.handle(orders.BundleInForce(bundle), 0.0)
+    for engine, loaded in (("e0", (("m", "", "v0"),)), ("e1", LOAD), ("e2", ())):
+        bench.report(11.0, engine, loaded)
+    [fence] = bench.tick(11.0)
+    assert bench.planner.engines[fence.engine].order[0] == (("z", "", "v1"),)
+
+
+def test_new_leader_waits_and_a_lost_leader_orders_nothing():
+    bench = Bench()
+    bench.report(9.0)
+    assert bench.tick(9.0) == []
+    bench.report(10.5)
+    bench.planner.handle(orders.LeadershipLost(), 10.6)
+    assert bench.tick(10.7) == []
