Make the simulated faults reach the guards they are meant for

A silent connection ended itself after one step and acted as a skipped token, a refused prefix never diverged, and no run reached a new generation. All three are corrected, and a test for new generations and one late failure of a closed connection are added.

--- a/chiveswitch/core/generation_test.py
+++ b/chiveswitch/core/generation_test.py
@@ -53,6 +53,7 @@
     def __init__(self, name, streamed):
         self.name, self.streamed = name, streamed
         self.generation, self.tokens, self.ended, self.failures = None, [], False, []
+        self.restarts = 0
 
 
 class World:
@@ -149,6 +150,7 @@
         reader = self.readers[action.reader]
         assert reader.streamed and action.generation > reader.generation
         reader.generation, reader.tokens = action.generation, []
+        reader.restarts += 1
 
     def DeliverEnd(self, action, machine):  # noqa: N802
         reader = self.readers[action.reader]
@@ -207,13 +209,17 @@
             self.fail(action.attempt, 0, refusals[fault], machine)
             return
         if fault == "refuse_prefix" and action.prefix:
-            attempt.known.pop()
+            # Either a shorter prefix, or one of the right length with another last token.
+            attempt.known[-1:] = self.rng.choice([[], ["lost"]])
         self.at(0.1, self.begin, action.attempt, 0, len(attempt.known), machine)
 
     def fail(self, number, link, kind, machine):
-        if kind is not messages.Kind.CLOSED:
-            self.live.discard(number)
-        self.at(0.002, self.send, messages.Failed(number, link, kind, 503), machine)
+        self.at(0.002, self.failed, messages.Failed(number, link, kind, 503), machine)
+
+    def failed(self, event, machine):
+        if event.kind is not messages.Kind.CLOSED and machine is self.machine:
+            self.live.discard(event.attempt)
+        self.send(event, machine)
 
     def Reattach(self, action, machine):  # noqa: N802
         attempt = self.attempts[action.attempt]
@@ -237,6 +243,9 @@
             while len(attempt.known) < offset:
                 attempt.known.append(engine_token(attempt.seed, "prompt", attempt.known))
             attempt.pos = offset
+            if attempt.fault == "silent_now":
+                # Only the earlier connection is silent.
+                attempt.fault = None
             digest = digests.of_tokens(attempt.known[:offset])
             self.send(messages.Started(number, offset, digest), machine)
             self.at(0.25, self.beat, number, link, machine)
@@ -260,8 +269,9 @@
             self.at(pause, self.step, number, link, machine)
             return
         fault, offset = attempt.fault, attempt.pos
-        if offset >= attempt.fault_at and fault and self.break_down(number, attempt, machine):
-            return
+        if offset >= attempt.fault_at and fault not in (None, "silent_now"):
+            if self.break_down(number, attempt, machine):
+                return
         size = min(self.rng.randrange(1, 4), LENGTH - offset)
         attempt.pos += size
         while len(attempt.known) < attempt.pos:
@@ -295,9 +305,11 @@
             self.paused_until[target] = self.now + self.rng.uniform(0.2, 3.0)
         elif fault == "silent":
             attempt.fault = "silent_now"
-            self.at(5.0, setattr, attempt, "fault", None)
         elif fault == "close":
             self.fail(number, link, messages.Kind.CLOSED, machine)
+            # A late failure of the closed connection, after the reattachment.
+            late = messages.Failed(number, link, messages.Kind.HTTP_ERROR, 502)
+            self.at(0.008, self.send, late, machine)
             return True
         elif fault == "repeat" and offset:
             self.send(messages.Tokens(number, offset - 1, known[offset - 1 : offset]), machine)
@@ -407,12 +419,30 @@
 def test_each_fault_alone(fault, resume):
     """Guards against a fault that is covered only by luck of the random search."""
     for seed in range(12):
+        check_completed(simulate(seed, ["die", fault], resume, (True,)))
         world = simulate(seed, [fault], resume, (True,))
         check_completed(world)
+        if fault in ("close", "silent") and resume == "resources":
+            # A reattachment continues without extra work.
+            assert len(world.attempts) == 1 and "prefill_repeated" not in world.counts
         if world.counts.get("resumptions") and fault != "refuse_prefix":
             assert world.counts["resume_latency_s"] / world.counts["resumptions"] < 2.0
 
 
+def test_new_generation_when_no_engine_confirms_the_prefix():
+    """Guards against mixed generations, and against a restart while another engine may do."""
+    shown = 0
+    for seed in range(20):
+        world = simulate(seed, ["die"] + ["refuse_prefix"] * 3, "resources", (True, False))
+        check_completed(world)
+        streamed, whole = world.readers.values()
+        assert streamed.generation == whole.generation == max(world.seeds)
+        shown += streamed.restarts
+        if streamed.restarts:
+            assert len(world.attempts) == 5, "restarted before three engines refused"
+    assert shown > 10
+
+
 @pytest.mark.parametrize("resume", ["latency", "resources"])
 def test_undisturbed_run_causes_no_extra_work(resume):
     """Guards against hedges, moves and repeated prefill when nothing fails."""
