--- a/chiveswitch/core/generation_test.py
+++ b/chiveswitch/core/generation_test.py
@@ -518,3 +518,14 @@
     assert world.detector.false_moves == world.counts.get("moves_false", 0)
     runs = [simulate(seed, ["pause"], "resources", (True,)) for seed in range(10)]
     assert sum(run.detector.false_moves for run in runs) > 0
+
+
+def test_commit_of_an_earlier_generation_delivers_nothing():
+    """Guards against a late commit that is taken for one of the new generation."""
+    world = World(random.Random(6))
+    machine = world.machine
+    machine.generation, machine._tokens, machine._open = 2, ["a", "b"], True
+    assert machine.handle(messages.JournalCommitted(1, 2, False, machine._note), 0.1) == []
+    actions = machine.handle(messages.JournalCommitted(2, 1, False, machine._note), 0.1)
+    delivered = [action for action in actions if type(action) is messages.Deliver]
+    assert delivered == [messages.Deliver("0", 2, 0, ["a"])]
