--- a/chiveswitch/callers/app.py
+++ b/chiveswitch/callers/app.py
@@ -1,21 +1,30 @@
 """HTTP application of a gateway: addresses, generations, calls, and target announcements."""
 
+import asyncio
+import base64
+import binascii
+
 import orjson
 from starlette import applications, responses, routing
 
-from chiveswitch.core import codes
+from chiveswitch.core import codes, directory
 
 MAX_BODY_BYTES = 1024 * 1024
+MAX_ID_LENGTH = 200
+# A refusal within this time comes as an HTTP status; later ones come inside the stream, which
+# has begun by then so that the caller gets heartbeats.
+REFUSAL_WAIT_SECONDS = 0.5
 
 
 def error_response(code: codes.Code, message: str):
     """Returns the HTTP response of a result code."""
     meaning = codes.MEANING_BY_CODE[code]
-    return responses.Response(
-        orjson.dumps(codes.to_json(code, message)),
-        status_code=meaning.http_status,
-        media_type="application/json",
-    )
+    return json_response(codes.to_json(code, message), meaning.http_status)
+
+
+def failure_response(failure: codes.Failure):
+    """Returns the HTTP response of a `codes.Failure`."""
+    return error_response(failure.code, failure.message)
 
 
 def json_response(value, status: int = 200, headers=None):
@@ -36,17 +45,87 @@
         data += chunk
         if len(data) > MAX_BODY_BYTES:
             return None, error_response(
-                codes.Code.BODY_TOO_LARGE, f"the body is larger than {MAX_BODY_BYTES} bytes"
+                codes.Code.BODY_TOO_LARGE, f"The body is larger than {MAX_BODY_BYTES} bytes."
             )
     try:
         value = orjson.loads(bytes(data))
     except orjson.JSONDecodeError as error:
-        return None, error_response(codes.Code.BAD_REQUEST, f"the body is not JSON: {error}")
+        return None, error_response(codes.Code.BAD_REQUEST, f"The body is not JSON: {error}")
     if not isinstance(value, dict):
-        return None, error_response(codes.Code.BAD_REQUEST, "the body is not a JSON object")
+        return None, error_response(codes.Code.BAD_REQUEST, "The body is not a JSON object.")
     return value, None
 
 
+def check_fields(body: dict, type_by_name: dict):
+    """Returns an error response that lists every missing or mistyped field, or None."""
+    errors = []
+    for name, kind in type_by_name.items():
+        value = body.get(name)
+        # A boolean is an int in Python, but not a number to a caller.
+        if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+            errors.append(f"{name} must be a {kind.__name__}")
+    if errors:
+        return error_response(codes.Code.BAD_REQUEST, "; ".join(errors) + ".")
+    return None
+
+
+def parse_event_id(text: str):
+    """Parses an event id `generation.answer:offset`.
+
+    Returns:
+        (answer, generation, offset); ("", None, 0) for an empty text, None for any other.
+    """
+    if not text:
+        return "", None, 0
+    name, _, offset = text.partition(":")
+    number, _, answer = name.partition(".")
+    if not (number.isascii() and number.isdigit() and offset.isascii() and offset.isdigit()):
+        return None
+    return answer, int(number), int(offset)
+
+
+def bearer(request) -> str:
+    """Returns the bearer token of a request, or an empty string."""
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    return token if scheme.lower() == "bearer" else ""
+
+
+def parse_announcement(body: dict):
+    """Returns the `directory.Announcement` in a JSON object, or None if it is invalid."""
+    try:
+        description = directory.Description(
+            id=_text(body["id"]),
+            kind=body["kind"],
+            availability_zone=_text(body["availability_zone"]),
+            address=_text(body["address"]),
+            incarnation=int(body["incarnation"]),
+            models=[[_text(part) for part in model] for model in body["models"]],
+            role=_text(body["role"]),
+            capacity=max(1, int(body["load"]["capacity"])),
+            warm_prefixes=[int(prefix) for prefix in body["warm"]],
+            honours_fencing=bool(body["honours_fencing"]),
+            services=[_text(name) for name in body["services"]],
+        )
+        if description.kind not in ("engine", "service") or body["state"] not in directory.STATES:
+            return None
+        return directory.Announcement(
+            description,
+            int(body["sequence"]),
+            body["state"],
+            int(body["load"]["running"]),
+            int(body["load"]["queued"]),
+            base64.b64decode(body["ticket"], validate=True),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError, binascii.Error):
+        return None
+
+
+def _text(value) -> str:
+    if not isinstance(value, str) or len(value) > MAX_ID_LENGTH:
+        raise ValueError(value)
+    return value
+
+
 def build_app(backend) -> applications.Starlette:
     """Returns the application.
 
@@ -54,38 +133,129 @@
         backend: The gateway; see `chiveswitch.tools.gateway.Gateway`.
     """
 
+    def account_of(request):
+        account = backend.authenticate(bearer(request))
+        if account:
+            return account, None
+        if not backend.has_bundle():
+            return "", error_response(
+                codes.Code.BUNDLE_STALE, "This gateway has not yet got a bundle from control."
+            )
+        return "", error_response(codes.Code.UNAUTHENTICATED, "The API key is not known.")
+
+    async def respond(reader):
+        """Waits for an early refusal, then returns the response that drains the reader."""
+        failure = None
+        try:
+            async with asyncio.timeout(REFUSAL_WAIT_SECONDS):
+                failure = await asyncio.shield(reader.opened)
+        except TimeoutError:
+            if not reader.opened.done():
+                reader.opened.set_result(None)
+        except asyncio.CancelledError:
+            backend.reader_left(reader)
+            raise
+        headers = {"x-request-id": reader.key[1]}
+        if failure is not None:
+            backend.forget(reader)
+            if failure.code is codes.Code.OK:
+                return json_response({"cancelled": True}, headers=headers)
+            return failure_response(failure)
+        media_type = "text/event-stream" if reader.streamed else "application/json"
+        return responses.StreamingResponse(
+            reader.body(), media_type=media_type, headers={**headers, "cache-control": "no-store"}
+        )
+
     async def addresses(request):
-        return json_response(backend.addresses(bearer(request), caller_key(request)))
+        account = backend.authenticate(bearer(request))
+        caller = request.client.host if request.client else ""
+        port = request.client.port if request.client else 0
+        return json_response(backend.addresses(account, f"{caller}:{port}"))
 
     async def announce(request):
         body, error = await read_json(request)
         if error is not None:
             return error
-        return json_response(backend.announce(body))
+        announcement = parse_announcement(body)
+        if announcement is None:
+            return error_response(codes.Code.BAD_REQUEST, "The announcement is invalid.")
+        ticket = backend.announce(announcement)
+        return json_response({"ticket": base64.b64encode(ticket).decode()})
 
     async def generate(request):
+        account, error = account_of(request)
+        if error is not None:
+            return error
         body, error = await read_json(request)
+        if error is None:
+            error = check_fields(body, {"service": str, "prompt": str, "max_tokens": int})
+        if error is not None:
+            return error
+        request_id = request.headers.get("idempotency-key", "")
+        if len(request_id) > MAX_ID_LENGTH:
+            return error_response(codes.Code.BAD_REQUEST, "The request id is too long.")
+        is_first = not request_id or request.headers.get("x-first-send") == "true"
+        reader = backend.submit(
+            account,
+            request_id,
+            is_first,
+            body,
+            body.get("stream", True) is not False,
+            request.headers.get("traceparent", ""),
+        )
+        return await respond(reader)
+
+    async def attach(request):
+        account, error = account_of(request)
         if error is not None:
             return error
-        return await backend.generate(
-            bearer(request), request.headers.get("idempotency-key", ""), body
+        position = parse_event_id(request.headers.get("last-event-id", ""))
+        if position is None:
+            return error_response(codes.Code.BAD_REQUEST, "The last event id is invalid.")
+        reader = backend.attach(
+            account,
+            request.path_params["request_id"],
+            position,
+            request.query_params.get("stream", "true") != "false",
+            request.headers.get("traceparent", ""),
         )
+        return await respond(reader)
+
+    async def cancel(request):
+        account, error = account_of(request)
+        if error is not None:
+            return error
+        return await respond(backend.cancel(account, request.path_params["request_id"]))
 
+    async def call(request):
+        account, error = account_of(request)
+        if error is not None:
+            return error
+        body, error = await read_json(request)
+        if error is None:
+            error = check_fields(body, {"service": str})
+        if error is not None:
+            return error
+        return await backend.call(
+            account,
+            request.headers.get("idempotency-key", ""),
+            body["service"],
+            body.get("body"),
+            request.headers.get("traceparent", ""),
+        )
+
+    async def status(_request):
+        return json_response(backend.status())
+
+    path = "/v1/generations/{request_id}"
     return applications.Starlette(
         routes=[
             routing.Route("/v1/addresses", addresses, methods=["GET"]),
             routing.Route("/v1/targets/announce", announce, methods=["POST"]),
             routing.Route("/v1/generations", generate, methods=["POST"]),
+            routing.Route(path, attach, methods=["GET"]),
+            routing.Route(path, cancel, methods=["DELETE"]),
+            routing.Route("/v1/calls", call, methods=["POST"]),
+            routing.Route("/v1/status", status, methods=["GET"]),
         ]
     )
-
-
-def bearer(request) -> str:
-    """Returns the bearer token of a request, or an empty string."""
-    scheme, _, token = request.headers.get("authorization", "").partition(" ")
-    return token if scheme.lower() == "bearer" else ""
-
-
-def caller_key(request) -> str:
-    """Returns what tells callers of one account apart: their IP number and port."""
-    return f"{request.client.host}:{request.client.port}" if request.client else ""
--- a/chiveswitch/callers/client.py
+++ b/chiveswitch/callers/client.py
@@ -43,7 +43,7 @@
 
     Attributes:
         request_id: The request's id.
-        generation: Number of the generation that the tokens belong to.
+        generation: Name of the generation that the tokens belong to.
         tokens: Tokens, in order.
         complete: Whether the end marker came with the right final offset.
         failure: The last error object of a gateway, or None.
@@ -69,7 +69,7 @@
 
     def __init__(self, request_id: str):
         self.request_id = request_id
-        self.generation = 0
+        self.generation = ""
         self.tokens = []
         self.complete = False
         self.failure = None
@@ -168,7 +168,9 @@
                 return answer
             held = len(answer.tokens)
             address = await self.address()
-            outcome = await self._open(address, answer, body, posted, on_tokens, stream)
+            outcome = await self._open(
+                address, answer, body, posted, bool(request_id), on_tokens, stream
+            )
             if len(answer.tokens) != held:
                 progress_at = clock.now()
             if outcome == "attached":
@@ -194,10 +196,10 @@
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
         return answer
 
-    async def _open(self, address, answer, body, posted, on_tokens, stream):
+    async def _open(self, address, answer, body, posted, chosen, on_tokens, stream):
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS + SILENCE_LIMIT_SECONDS + 2.0):
-                response = await self._request(address, answer, body, posted)
+                response = await self._request(address, answer, body, posted, chosen)
         except Exception as error:
             log.debug("caller: %s cannot be reached: %r", address, error)
             return "unreachable"
@@ -215,7 +217,7 @@
         finally:
             await response.aclose()
 
-    async def _request(self, address, answer, body, posted):
+    async def _request(self, address, answer, body, posted, chosen):
         timeouts = aiosonic.timeout.Timeouts(
             sock_connect=CONNECT_TIMEOUT_SECONDS, sock_read=None, request_timeout=None
         )
@@ -230,11 +232,14 @@
                 timeouts=timeouts,
                 stream=True,
             )
+        headers = self._headers(**{"idempotency-key": answer.request_id})
+        if not answer.reconnects and answer.failure is None and not chosen:
+            headers["x-first-send"] = "true"
         return await self._http.request(
             f"http://{address}/v1/generations",
             method="POST",
             data=body,
-            headers=self._headers(**{"idempotency-key": answer.request_id}),
+            headers=headers,
             timeouts=timeouts,
             stream=True,
         )
@@ -307,10 +312,9 @@
     """Applies one event to an answer and notes every violation of the stream's rules."""
     if event.name == "generation":
         value = orjson.loads(event.data)
-        if value["generation"] <= answer.generation:
-            answer.errors.append(f"generation {value['generation']} does not rise")
+        if value["generation"] == answer.generation:
             return
-        answer.restarts += answer.generation != 0
+        answer.restarts += bool(answer.tokens)
         answer.generation = value["generation"]
         answer.seed = value.get("seed")
         answer.tokens = []
@@ -318,7 +322,7 @@
     if event.name == "tokens":
         generation, _, offset = event.event_id.partition(":")
         value = orjson.loads(event.data)
-        if int(generation) != answer.generation:
+        if generation != answer.generation:
             answer.errors.append(
                 f"tokens of generation {generation} came in generation {answer.generation}"
             )
--- a/chiveswitch/core/codes.py
+++ b/chiveswitch/core/codes.py
@@ -170,6 +170,11 @@
     return expression.Error(Failure(code, message))
 
 
+def ok(value) -> expression.Result:
+    """Returns an `expression.Ok` of a value."""
+    return expression.Ok(value)
+
+
 def to_json(code: Code, message: str) -> dict:
     """Returns the JSON object that an HTTP error response carries."""
     meaning = MEANING_BY_CODE[code]
--- a/chiveswitch/core/generation.py
+++ b/chiveswitch/core/generation.py
@@ -51,7 +51,8 @@
         journal_wait_s: Seconds to wait for a commit.
         keep_answer_s: Seconds that a complete response is kept.
         tries: Attempts in a row that may fail without a new token.
-        prefix_tries: Engines that may refuse the prefix before a new generation begins.
+        prefix_tries: Engines that may refuse the prefix before a new generation begins. 0 never
+            continues from a prefix, which is a baseline for comparison.
         restarts: New generations that may begin.
     """
 
@@ -426,6 +427,10 @@
         machine._may_have_run = bool(tokens or machine._noted_attempts)
         return machine
 
+    def has_readers(self) -> bool:
+        """Returns whether any reader waits for tokens or the end."""
+        return bool(self._readers)
+
     def handle(self, event, now: float) -> list:
         """Handles one event.
 
@@ -740,6 +745,9 @@
         self._fail(code, message, now)
 
     def _choose(self, now):
+        if self._tokens and self.header.settings.prefix_tries == 0:
+            self._restart(now)
+            return
         self._choosing = _MOVE
         self._pending_target = None
         repeated = self._last_attempt > 0
--- /dev/null
+++ b/chiveswitch/core/headers.py
@@ -0,0 +1,115 @@
+"""The header of a generation: what is pinned at admission and stored with its journal."""
+
+import hashlib
+
+import expression
+import orjson
+
+from chiveswitch.core import codes, generation
+
+# About four bytes of text make one token; only the count of repeated work depends on it.
+BYTES_PER_PROMPT_TOKEN = 4
+
+SETTING_NAMES = (
+    "resume",
+    "on_absence",
+    "absence_grace_s",
+    "extra_work_percent",
+    "keep_answer_s",
+)
+
+
+class Pinned:
+    """A request's header with what the gateway needs beside the generation machine.
+
+    Attributes:
+        header: `generation.Header`.
+        answer: Random id that tells this answer from any other of the same request id.
+        service: Service name.
+        body_digest: Digest of service, prompt and max_tokens, to refuse a reused request id.
+        priority: Priority class of the service.
+        journal_copies: 3 or 5.
+        durable: Whether control holds the request.
+    """
+
+    __slots__ = (
+        "header",
+        "answer",
+        "service",
+        "body_digest",
+        "priority",
+        "journal_copies",
+        "durable",
+    )
+
+    def __init__(self, header, answer, service, body_digest, priority, journal_copies, durable):
+        self.header = header
+        self.answer = answer
+        self.service = service
+        self.body_digest = body_digest
+        self.priority = priority
+        self.journal_copies = journal_copies
+        self.durable = durable
+
+
+def digest_body(service: str, prompt: str, max_tokens: int) -> str:
+    """Returns the hexadecimal digest of a request's content."""
+    content = orjson.dumps([service, prompt, max_tokens])
+    return hashlib.blake2b(content, digest_size=16).hexdigest()
+
+
+def pin(submit, service, serial: int, answer: str, seed: int) -> Pinned:
+    """Returns the header of a newly admitted request.
+
+    Args:
+        submit: `gateway_messages.Submit`.
+        service: `bundles.Service`.
+        serial: Serial of the bundle in force.
+        answer: Random answer id.
+        seed: Sampling seed of the first generation.
+    """
+    settings = generation.Settings(**{name: getattr(service, name) for name in SETTING_NAMES})
+    header = generation.Header(
+        submit.account,
+        submit.request_id,
+        settings,
+        service.model,
+        service.adapter,
+        service.version,
+        submit.prompt,
+        len(submit.prompt) // BYTES_PER_PROMPT_TOKEN,
+        seed,
+        submit.max_tokens,
+        serial,
+    )
+    digest = digest_body(service.name, submit.prompt, submit.max_tokens)
+    return Pinned(
+        header,
+        answer,
+        service.name,
+        digest,
+        service.priority,
+        service.journal_copies,
+        service.durable,
+    )
+
+
+def encode(pinned: Pinned) -> bytes:
+    """Returns the bytes that the journal and control store."""
+    header = pinned.header
+    value = {name: getattr(header, name) for name in header.__slots__ if name not in ("settings",)}
+    value["settings"] = {name: getattr(header.settings, name) for name in SETTING_NAMES}
+    for name in Pinned.__slots__[1:]:
+        value[name] = getattr(pinned, name)
+    return orjson.dumps(value)
+
+
+def decode(data: bytes) -> expression.Result:
+    """Returns the `Pinned` in the bytes, or FRAME_INVALID."""
+    try:
+        value = orjson.loads(data)
+        settings = generation.Settings(**value.pop("settings"))
+        own = {name: value.pop(name) for name in Pinned.__slots__[1:]}
+        return expression.Ok(Pinned(generation.Header(settings=settings, **value), **own))
+    except (orjson.JSONDecodeError, TypeError, KeyError, AttributeError) as error:
+        return codes.failure(codes.Code.FRAME_INVALID, f"The header is invalid: {error!r}")
--- a/chiveswitch/core/replication.py
+++ b/chiveswitch/core/replication.py
@@ -126,7 +126,10 @@
 
 
 class Committed(journal.Record):
-    """Action: tokens of `generation` below `length` may be delivered; `end` once it may be."""
+    """Action: tokens of `generation` below `length` may be delivered; `end` once it may be.
+
+    It is also returned when only `Owner.committed_attempt` has risen.
+    """
 
     __slots__ = ("generation", "length", "end")
 
@@ -221,6 +224,7 @@
         config: Config proposed last.
         generation, tokens, end, attempt: The journal, including what is not committed yet.
         committed: Tuple (generation, length, ended) reported last.
+        committed_attempt: Number of the latest attempt note that a majority has, 0 if none.
         closed: Whether the owner stepped down.
         deadline: Time before which a `Tick` has nothing to do, in seconds.
     """
@@ -236,6 +240,7 @@
         "end",
         "attempt",
         "committed",
+        "committed_attempt",
         "closed",
         "deadline",
         "_fresh",
@@ -272,6 +277,7 @@
         self.end = snapshot.end
         self.attempt = snapshot.attempt
         self.committed = NOTHING_COMMITTED
+        self.committed_attempt = 0
         self.closed = False
         self.deadline = math.inf
         self._fresh = fresh
@@ -300,6 +306,10 @@
             return []
         return OWNER_HANDLER_BY_EVENT[type(event)](self, event, now)
 
+    def set_copies(self, copies_wanted: int, now: float):
+        """Sets the number of copies once the header of a journal that was taken over is known."""
+        self._copies_wanted = copies_wanted
+
     def is_settled(self) -> bool:
         """Returns whether the end is committed and every holder has everything."""
         if not self.committed[2] or self._joining or self.config.previous_holders:
@@ -376,7 +386,12 @@
             self._advance_config(now, actions)
         # Of three acks per token only one can advance the commit; the others end here.
         generation, committed, ended = self.committed
-        if reply.length > committed or reply.generation > generation or reply.ended > ended:
+        if (
+            reply.length > committed
+            or reply.generation > generation
+            or reply.ended > ended
+            or reply.attempt_number > self.committed_attempt
+        ):
             self._advance_commit(actions)
         return actions
 
@@ -394,6 +409,7 @@
             now: Seconds on the caller's clock.
         """
         self.committed = (self.generation, len(self.tokens), self.end is not None)
+        self.committed_attempt = 0 if self.attempt is None else self.attempt.number
         self._sent_at = now
         actions = []
         for copy in self._copy_by_holder.values():
@@ -560,12 +576,33 @@
         length = min(len(self.tokens), lengths[(len(group) - 1) // 2])
         return length, self.end is not None and 2 * ends > len(group)
 
+    def _majority_attempt(self):
+        """Returns the number of the latest attempt note that every needed majority has."""
+        noted = self.attempt.number
+        for group in (self.config.holders, self.config.previous_holders):
+            if not group:
+                continue
+            numbers = []
+            for holder in group:
+                copy = self._copy_by_holder[holder]
+                counts = copy.installed and copy.config_version >= copy.joined
+                numbers.append(copy.attempt_number if counts else 0)
+            numbers.sort()
+            noted = min(noted, numbers[(len(group) - 1) // 2])
+        return noted
+
     def _advance_commit(self, actions):
         length, ended = self._majority_position()
         position = (self.generation, length, ended)
-        if length < 0 or position <= self.committed:
+        if length < 0 or position < self.committed:
+            return
+        noted = self.committed_attempt
+        if self.attempt is not None and noted < self.attempt.number:
+            noted = max(noted, self._majority_attempt())
+        if position == self.committed and noted == self.committed_attempt:
             return
         self.committed = position
+        self.committed_attempt = noted
         actions.append(Committed(self.generation, length, self.end if ended else None))
 
     def _lose(self, holder, now, actions):
--- a/chiveswitch/peers/frames.py
+++ b/chiveswitch/peers/frames.py
@@ -45,6 +45,11 @@
     return expression.Ok(value)
 
 
+def encode_ok(value) -> expression.Result:
+    """Returns Ok with the encoding of a struct, as a handler's answer."""
+    return expression.Ok(encode_struct(value))
+
+
 def encode_frame(envelope) -> bytes:
     """Returns the length-prefixed frame of an envelope."""
     data = encode_struct(envelope)
--- a/chiveswitch/peers/link.thrift
+++ b/chiveswitch/peers/link.thrift
@@ -8,3 +8,11 @@
   6: binary payload,
   7: string trace,
 }
+
+// Journal messages of one wake-up for one holder. A holder answers only if `to` is its own id,
+// since a restarted gateway listens at the same address but holds nothing of the old one.
+struct JournalFrame {
+  1: string to,
+  2: string sender,
+  3: list<binary> messages,
+}
--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -72,7 +72,7 @@
                     )
                     continue
                 outcome = handler(envelope.payload, envelope.trace or "")
-                if not inspect.isawaitable(outcome):
+                if not (asyncio.isfuture(outcome) or inspect.iscoroutine(outcome)):
                     self._reply(writer, envelope, outcome)
                     continue
                 task = asyncio.ensure_future(self._finish(writer, envelope, outcome))
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -1,87 +1,493 @@
-"""The gateway daemon."""
+"""The gateway daemon: feeds the decisions of `core.gateway` and executes their actions."""
 
 import asyncio
 import logging
-
-import orjson
-from starlette import responses
+import pathlib
+import random
+import signal
+import uuid
 
 from chiveswitch.callers import app as callers_app
-from chiveswitch.core import clock, codes, sse
-from chiveswitch.targets import engine_client
+from chiveswitch.callers import readers
+from chiveswitch.core import addresses, bundles, clock, codes, directory, gateway, journal
+from chiveswitch.core import gateway_messages as messages
+from chiveswitch.core import generation_messages, telemetry
+from chiveswitch.core import settings as settings_module
+from chiveswitch.peers import directory_codec, frames, journal_codec, kinds, links
+from chiveswitch.targets import engine_client, streams
 from chiveswitch.tools import serving
 
 log = logging.getLogger("chiveswitch.gateway")
 
-TARGET_TTL_SECONDS = 2.5
+TICK_SECONDS = 0.025
+PULL_INTERVAL_SECONDS = 0.4
+PULL_PEERS = 2
+PULL_TIMEOUT_SECONDS = 0.35
 
 
 class Gateway:
-    """Serves callers from announced engines."""
+    """One gateway process. Its main task owns the core; other tasks post events to its inbox.
+
+    Attributes:
+        settings: The command's settings.
+        core: `gateway.GatewayCore`.
+        telemetry: `telemetry.Telemetry`.
+    """
 
-    def __init__(self, settings):
+    def __init__(self, settings, core_settings=None, rng=None):
         self.settings = settings
-        self.targets_by_id = {}
-        self.engines = engine_client.EngineClient()
-        self._next_attempt = 0
-
-    def addresses(self, _token, _caller):
-        """Returns the address answer."""
-        return {"addresses": [self.settings.listen], "valid_seconds": 10}
-
-    def announce(self, body):
-        """Takes in a target's announcement."""
-        body["heard_at"] = clock.now()
-        self.targets_by_id[body["id"]] = body
-        return {"ticket": ""}
-
-    async def generate(self, _token, key, body):
-        """Returns the response that streams a generation from an engine."""
+        self.telemetry = telemetry.Telemetry(
+            "gateway", settings.gateway_id, settings.trace_file, settings.statsd
+        )
+        self._rng = rng or random.Random()
+        description = directory.Description(
+            settings.gateway_id,
+            "gateway",
+            settings.availability_zone,
+            settings.listen,
+            int(clock.now() * 1000),
+            peer_address=settings.peer_listen,
+        )
+        core_settings = core_settings or gateway.GatewaySettings(
+            policy=settings.policy,
+            detector=settings.detector,
+            copies=settings.copies,
+            restart=settings.restart,
+        )
+        self.core = gateway.GatewayCore(core_settings, description, self._rng, clock.now())
+        self._inbox = asyncio.Queue()
+        self._reader_by_id = {}
+        self._span_by_key = {}
+        self._reply_by_token = {}
+        self._next_token = 0
+        self._link_by_address = {}
+        self._streams = streams.Streams(engine_client.EngineClient(), self.post)
+        self._tasks = []
+        self._server = None
+        self._peer_server = None
+        self.cut_by_exit = 0
+
+    # Backend of the HTTP application.
+
+    def authenticate(self, token: str) -> str:
+        """Returns the client account of an API key, or an empty string."""
+        return self.core.authenticate(token)
+
+    def has_bundle(self) -> bool:
+        """Returns whether any bundle is known, without which no API key is."""
+        return self.core.bundle is not None
+
+    def addresses(self, account: str, caller: str) -> dict:
+        """Returns the addresses for a caller as JSON."""
+        answer = addresses.answer(self.core.directory, account, caller, clock.now())
+        return {"addresses": answer.addresses, "valid_seconds": answer.valid_s}
+
+    def announce(self, announcement) -> bytes:
+        """Takes in a target's announcement and returns its next ticket."""
+        return self.core.directory.announce(announcement, clock.now())
+
+    def submit(self, account, request_id, is_first_send, body, streamed, traceparent):
+        """Posts a new generation and returns its reader."""
+        request_id = request_id or uuid.UUID(int=self._rng.getrandbits(128)).hex
+        key = (account, request_id)
+        reader = self._new_reader(key, streamed, "gateway.generate", traceparent)
+        event = messages.Submit(
+            reader.reader_id,
+            account,
+            request_id,
+            is_first_send,
+            body["service"],
+            body["prompt"],
+            body["max_tokens"],
+            streamed,
+        )
+        self.post([event])
+        return reader
+
+    def attach(self, account, request_id, position, streamed, traceparent):
+        """Posts a caller's return and returns its reader."""
+        key = (account, request_id)
+        reader = self._new_reader(key, streamed, "gateway.attach", traceparent)
+        event = messages.Attach(reader.reader_id, account, request_id, *position, streamed)
+        self.post([event])
+        return reader
+
+    def cancel(self, account, request_id):
+        """Posts a caller's cancel and returns the reader of its outcome."""
+        reader = self._new_reader((account, request_id), False, "gateway.cancel", "")
+        self.post([messages.Cancel(reader.reader_id, account, request_id)])
+        return reader
+
+    async def call(self, account, key, service, body, traceparent):
+        """Makes a plain service call and returns its HTTP response."""
+        return callers_app.error_response(
+            codes.Code.SERVICE_UNKNOWN, "Calls are not served by this build."
+        )
+
+    def status(self) -> dict:
+        """Returns what `chiveswitch status` shows."""
         now = clock.now()
-        usable = [
-            target
-            for target in self.targets_by_id.values()
-            if now - target["heard_at"] < TARGET_TTL_SECONDS and target["kind"] == "engine"
-        ]
-        if not usable:
-            return callers_app.error_response(codes.Code.NO_TARGET, "no engine is announced")
-        target = min(usable, key=lambda entry: entry["load"]["running"])
-        self._next_attempt += 1
-        stream = await self.engines.start(
-            target["address"],
+        core = self.core
+        refusal = core.refusal(now)
+        return {
+            "gateway_id": self.settings.gateway_id,
+            "availability_zone": self.settings.availability_zone,
+            "state": core.directory.own.state,
+            "admits": refusal is None,
+            "refusal": "" if refusal is None else refusal.code.name,
+            "serial": core.serial,
+            "open": len(core.open_by_key),
+            "journals": len(core.store.by_key),
+            "journal_bytes": core.store.size,
+            "targets": [
+                {
+                    "id": entry.description.id,
+                    "state": entry.state,
+                    "age_seconds": round(now - entry.basis, 3),
+                    "running": entry.running,
+                }
+                for entry in core.directory.by_id.values()
+            ],
+            "counters": dict(self.telemetry.counters_by_name),
+        }
+
+    def reader_left(self, reader):
+        """Takes note that a caller's connection closed."""
+        if self._reader_by_id.pop(reader.reader_id, None) is not None:
+            event = generation_messages.ReaderLeft(reader.reader_id)
+            self.post([messages.FromReader(reader.key, event)])
+
+    def forget(self, reader):
+        """Drops a reader that was refused."""
+        self._reader_by_id.pop(reader.reader_id, None)
+
+    def _new_reader(self, key, streamed, span_name, traceparent):
+        reader = readers.Reader(key, streamed, self._reader_read, self.reader_left)
+        self._reader_by_id[reader.reader_id] = reader
+        if key not in self._span_by_key:
+            self._span_by_key[key] = self.telemetry.span(span_name, traceparent, request=key[1])
+        return reader
+
+    def _reader_read(self, reader, position):
+        event = generation_messages.ReaderRead(reader.reader_id, *position)
+        self.post([messages.FromReader(reader.key, event)])
+
+    # The main task.
+
+    def post(self, events: list):
+        """Puts events in the inbox of the main task."""
+        self._inbox.put_nowait(events)
+
+    async def run(self, bundle):
+        """Starts the servers and runs until drained or cancelled."""
+        host, _, port = self.settings.listen.rpartition(":")
+        peer_host, _, peer_port = self.settings.peer_listen.rpartition(":")
+        self._peer_server = links.Server(
             {
-                "attempt_id": f"{self.settings.gateway_id}-{self._next_attempt}",
-                "model": "model",
-                "adapter": "",
-                "version": "1",
-                "prompt": body["prompt"],
-                "seed": 1,
-                "max_tokens": body["max_tokens"],
-                "prefix": [],
-            },
+                kinds.Kind.JOURNAL: self._serve_journal,
+                kinds.Kind.DIRECTORY_PULL: self._serve_pull,
+            }
         )
-        return responses.StreamingResponse(self._relay(stream), media_type="text/event-stream")
+        await self._peer_server.start(peer_host, int(peer_port))
+        self._server = await serving.start(callers_app.build_app(self), host, int(port))
+        log.info("gateway: %s listens on %s", self.settings.gateway_id, self.settings.listen)
+        loop = asyncio.get_running_loop()
+        for each in (self._tick(), self._pull(), self._confirm_static_bundle(bundle)):
+            self._tasks.append(asyncio.ensure_future(each))
+        main = asyncio.ensure_future(self._main())
+        drained = loop.create_future()
+        signals = 0
+
+        def on_signal():
+            nonlocal signals
+            signals += 1
+            if signals == 1:
+                log.info("gateway: draining")
+                self.post([messages.Drain()])
+            elif not drained.done():
+                drained.set_result(False)
+
+        if self.settings.handle_signals:
+            for number in (signal.SIGTERM, signal.SIGINT):
+                loop.add_signal_handler(number, on_signal)
+        try:
+            while not drained.done():
+                if self.core.is_drained(clock.now()):
+                    drained.set_result(True)
+                done, _ = await asyncio.wait(
+                    [main, drained], timeout=0.1, return_when=asyncio.FIRST_COMPLETED
+                )
+                if main in done:
+                    main.result()
+            if not drained.result():
+                log.warning("gateway: cut %s open generations", len(self.core.open_by_key))
+                self.cut_by_exit = len(self.core.open_by_key)
+        finally:
+            main.cancel()
+            await self.close()
+        log.info("gateway: stopped")
+
+    async def close(self):
+        """Ends all tasks and servers."""
+        for task in self._tasks:
+            task.cancel()
+        for link in self._link_by_address.values():
+            await link.close()
+        self._server.force_exit = True
+        await serving.stop(self._server)
+        await self._peer_server.close()
+        self.telemetry.close()
+
+    async def _main(self):
+        while True:
+            events = await self._inbox.get()
+            # Everything that is waiting is handled as one batch, with one frame per holder.
+            while not self._inbox.empty():
+                events = events + self._inbox.get_nowait()
+            now = clock.now()
+            appends_by_holder = {}
+            for event in events:
+                for action in self.core.handle(event, now):
+                    if type(action) is messages.SendJournal:
+                        appends_by_holder.setdefault(action.holder, []).append(action.message)
+                        continue
+                    HANDLER_BY_ACTION[type(action)](self, action)
+            for holder, waiting in appends_by_holder.items():
+                self._send_journal(holder, waiting)
+
+    async def _tick(self):
+        heartbeat_at = 0.0
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self.post([messages.Tick()])
+            now = clock.now()
+            if now >= heartbeat_at:
+                heartbeat_at = now + readers.HEARTBEAT_SECONDS / 2
+                for reader in list(self._reader_by_id.values()):
+                    reader.heartbeat(now)
+
+    # Journals.
+
+    def _send_journal(self, holder, waiting):
+        gateway_id, _, incarnation = holder.rpartition(".")
+        entry = self.core.directory.by_id.get(gateway_id)
+        if entry is None or str(entry.description.incarnation) != incarnation:
+            return
+        appends = [message for message in waiting if type(message) is journal.Append]
+        encoded = []
+        if appends:
+            batch = journal.AppendBatch(self.core.epochs.holder, appends)
+            encoded.append(journal_codec.encode(batch))
+        for message in waiting:
+            if type(message) is not journal.Append:
+                encoded.append(journal_codec.encode(message))
+        frame = frames.encode_struct(
+            frames.idl.JournalFrame(to=holder, sender=self.core.epochs.holder, messages=encoded)
+        )
+        future = asyncio.get_running_loop().create_future()
+        link = self._link(entry.description.peer_address)
+        if link.post(kinds.Kind.JOURNAL, frame, future=future) is None:
+            return
+        future.add_done_callback(lambda done: self._journal_replied(holder, done))
+
+    def _journal_replied(self, holder, future):
+        if future.cancelled() or future.result().is_error():
+            return
+        replies = decode_journal(future.result().ok, holder)
+        if replies:
+            self.post([messages.JournalReceived(holder, replies)])
+
+    def _serve_journal(self, payload, _trace):
+        result = frames.decode_struct(frames.idl.JournalFrame(), payload)
+        if result.is_error():
+            return result
+        if result.ok.to != self.core.epochs.holder:
+            return codes.failure(codes.Code.LINK_CLOSED, "This is another incarnation.")
+        received = []
+        for data in result.ok.messages or []:
+            decoded = journal_codec.decode(data)
+            if decoded.is_error():
+                log.warning("gateway: dropped a journal message: %s", decoded.error.message)
+                continue
+            received.append(decoded.ok)
+        self._next_token += 1
+        future = asyncio.get_running_loop().create_future()
+        self._reply_by_token[self._next_token] = future
+        self.post([messages.JournalRequest(self._next_token, received)])
+        return future
+
+    def _journal_replies(self, action):
+        future = self._reply_by_token.pop(action.token)
+        if future.done():
+            return
+        encoded = [journal_codec.encode(reply) for reply in action.messages]
+        frame = frames.idl.JournalFrame(to="", sender=self.core.epochs.holder, messages=encoded)
+        future.set_result(frames.encode_ok(frame))
+
+    def _link(self, address):
+        link = self._link_by_address.get(address)
+        if link is None:
+            link = self._link_by_address[address] = links.Link(address)
+        return link
+
+    # Directory.
+
+    async def _pull(self):
+        seeds = settings_module.split_list(self.settings.peers)
+        while True:
+            chosen = self.core.directory.choose_peers(seeds, PULL_PEERS, self._rng)
+            await asyncio.gather(*(self._pull_from(peer) for peer in chosen))
+            self.core.directory.set_own(
+                "ready" if self.core.directory.own.state == "ready" else "draining",
+                len(self.core.open_by_key),
+                0,
+            )
+            await asyncio.sleep(PULL_INTERVAL_SECONDS * self._rng.uniform(0.9, 1.1))
+
+    async def _pull_from(self, peer):
+        for _ in range(3):
+            sent_at = clock.now()
+            request = self.core.directory.pull_request(peer, sent_at)
+            result = await self._link(peer).call(
+                kinds.Kind.DIRECTORY_PULL,
+                directory_codec.encode_request(request),
+                PULL_TIMEOUT_SECONDS,
+            )
+            if result.is_error():
+                return
+            answer = directory_codec.decode_answer(result.ok)
+            if answer.is_error():
+                log.warning("gateway: dropped a directory answer: %s", answer.error.message)
+                return
+            if not self.core.directory.apply_pull(peer, answer.ok, sent_at, clock.now()):
+                return
+
+    def _serve_pull(self, payload, _trace):
+        result = directory_codec.decode_request(payload)
+        if result.is_error():
+            return result
+        answer = self.core.directory.answer_pull(result.ok, clock.now())
+        return codes.ok(directory_codec.encode_answer(answer))
+
+    # Control.
+
+    async def _confirm_static_bundle(self, bundle):
+        while True:
+            self.post([messages.BundleConfirmed(1, bundle, clock.now())])
+            await asyncio.sleep(1.0)
+
+    # Actions.
+
+    def _reader_generation(self, action):
+        reader = self._reader_by_id.get(action.reader)
+        if reader is not None:
+            reader.generation(action.name, action.seed)
+
+    def _reader_tokens(self, action):
+        reader = self._reader_by_id.get(action.reader)
+        if reader is not None:
+            reader.tokens(action.name, action.generation, action.offset, action.tokens)
+
+    def _reader_end(self, action):
+        reader = self._reader_by_id.pop(action.reader, None)
+        if reader is not None:
+            reader.end(action.name, action.final_offset)
+
+    def _reader_fail(self, action):
+        reader = self._reader_by_id.pop(action.reader, None)
+        if reader is None:
+            return
+        self.telemetry.count(f"refused.{action.code.name}")
+        reader.fail(action.code, action.message)
+        if reader.key not in self.core.open_by_key:
+            self._end_span(reader.key, action.code.name)
+
+    def _open_stream(self, action):
+        span = self._span_by_key.get(action.key)
+        traceparent = ""
+        if span is not None:
+            attempt = self.telemetry.span(
+                "gateway.attempt", self.telemetry.traceparent(span), attempt=action.attempt
+            )
+            traceparent = self.telemetry.traceparent(attempt)
+            attempt.end()
+        self._streams.open(action, traceparent)
+
+    def _reattach_stream(self, action):
+        self._mark(action.key, "reattach")
+        self._streams.reattach(action)
+
+    def _cancel_stream(self, action):
+        self._streams.cancel(action)
+
+    def _count(self, action):
+        for name, amount in action.amount_by_name.items():
+            self.telemetry.count(name, amount)
+
+    def _note(self, action):
+        self._mark(action.key, action.name)
+        if action.key in self._span_by_key and action.name == "OK":
+            self._end_span(action.key, action.name)
+
+    def _mark(self, key, name):
+        span = self._span_by_key.get(key)
+        if span is not None:
+            span.add_event(name)
+
+    def _end_span(self, key, outcome):
+        span = self._span_by_key.pop(key, None)
+        if span is not None:
+            span.set_attribute("outcome", outcome)
+            span.end()
+
+    def _commit_request(self, action):
+        failure = codes.Failure(codes.Code.CONTROL_UNAVAILABLE, "There is no control.")
+        self.post([messages.RequestCommitted(action.key, failure)])
+
+    def _find_request(self, action):
+        self.post([messages.RequestFound(action.key, None, 0, None)])
+
+    def _claim_generation(self, action):
+        failure = codes.Failure(codes.Code.CONTROL_UNAVAILABLE, "There is no control.")
+        self.post([messages.GenerationClaimed(action.key, 0, failure)])
+
+    def _finish_request(self, action):
+        pass
+
+
+def decode_journal(payload: bytes, holder: str) -> list:
+    """Returns the journal messages of a reply frame; messages that cannot be read are left out."""
+    result = frames.decode_struct(frames.idl.JournalFrame(), payload)
+    if result.is_error() or result.ok.sender != holder:
+        return []
+    decoded = [journal_codec.decode(data) for data in result.ok.messages or []]
+    return [each.ok for each in decoded if each.is_ok()]
+
 
-    async def _relay(self, stream):
-        async for batch in stream.batches():
-            for event in batch:
-                if event.name == "tokens":
-                    data = orjson.loads(event.data)
-                    offset = data["o"] + len(data["t"])
-                    yield sse.encode("tokens", orjson.dumps(data), f"1:{offset}")
-                if event.name == "end":
-                    yield sse.encode("end", event.data.encode())
+HANDLER_BY_ACTION = {
+    messages.JournalReplies: Gateway._journal_replies,
+    messages.OpenStream: Gateway._open_stream,
+    messages.ReattachStream: Gateway._reattach_stream,
+    messages.CancelStream: Gateway._cancel_stream,
+    messages.ReaderGeneration: Gateway._reader_generation,
+    messages.ReaderTokens: Gateway._reader_tokens,
+    messages.ReaderEnd: Gateway._reader_end,
+    messages.ReaderFail: Gateway._reader_fail,
+    messages.CommitRequest: Gateway._commit_request,
+    messages.FindRequest: Gateway._find_request,
+    messages.ClaimGeneration: Gateway._claim_generation,
+    messages.FinishRequest: Gateway._finish_request,
+    messages.Count: Gateway._count,
+    messages.Note: Gateway._note,
+}
 
 
-async def run(settings):
-    """Runs a gateway until it is cancelled."""
-    gateway = Gateway(settings)
-    host, _, port = settings.listen.rpartition(":")
-    server = await serving.start(callers_app.build_app(gateway), host, int(port))
-    log.info("gateway: listens on %s", settings.listen)
-    await server.task
+async def run(settings, bundle):
+    """Runs a gateway with a bundle that is not confirmed by control."""
+    await Gateway(settings).run(bundle)
 
 
 def main(settings):
-    """Runs the daemon."""
-    asyncio.run(run(settings))
+    """Runs the daemon until it is drained."""
+    bundle = bundles.parse(pathlib.Path(settings.bundle_file).read_bytes()).ok
+    asyncio.run(run(settings, bundle))
--- a/chiveswitch/tools/main.py
+++ b/chiveswitch/tools/main.py
@@ -41,7 +41,10 @@
     from chiveswitch.tools import gateway
 
     errors = settings_module.required_error("gateway-id", settings.gateway_id)
+    errors += settings_module.required_error("availability-zone", settings.availability_zone)
     errors += settings_module.address_error("listen", settings.listen)
+    errors += settings_module.address_error("peer-listen", settings.peer_listen)
+    errors += settings_module.addresses_errors("peers", settings.peers)
     start(settings, errors, gateway.main)
 
 
@@ -64,6 +67,18 @@
     gateway_id: Annotated[str, option("gateway-id", "Name of this gateway.", "")]
     listen: Annotated[str, option("listen", "Address for callers, ip:port.", "127.0.0.1:8000")]
     availability_zone: Annotated[str, option("availability-zone", "Zone of this VM.", "")]
+    peer_listen: Annotated[
+        str, option("peer-listen", "Address for other gateways, ip:port.", "127.0.0.1:8500")
+    ]
+    peers: Annotated[str, option("peers", "Peer addresses of some gateways, comma-separated.", "")]
+    bundle_file: Annotated[str, option("bundle-file", "Bundle to use without control.", "")]
+    policy: Annotated[str, option("policy", "Target choice.", "least_loaded")]
+    detector: Annotated[str, option("detector", "Failure detector.", "adaptive")]
+    copies: Annotated[int, option("copies", "Journal copies; 0 as the service says.", 0)]
+    restart: Annotated[bool, option("restart", "Baseline: restart failed generations.", False)]
+    trace_file: Annotated[str, option("trace-file", "File for spans, one JSON line each.", "")]
+    statsd: Annotated[str, option("statsd", "Address of a statsd server, ip:port.", "")]
+    handle_signals: Annotated[bool, cappa.Arg(hidden=True, long=True, default=True)]
     log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
 
 
--- a/chiveswitch/tools/processes_test.py
+++ b/chiveswitch/tools/processes_test.py
@@ -1,14 +1,17 @@
 """Tests with real processes on loopback. They wait on conditions and assert nothing on time."""
 
 import asyncio
+import random
+import signal
 
-import aiosonic
-import orjson
 import pytest
 
+from chiveswitch.callers import client
 from chiveswitch.core import digests
-from chiveswitch.targets import engine_client, standin_engine
-from chiveswitch.tools import processes
+from chiveswitch.targets import standin_engine
+from chiveswitch.tools import processes, sample
+
+TOKENS = 60
 
 
 def expected_tokens(seed, prompt, count):
@@ -20,56 +23,76 @@
     return tokens
 
 
-async def generate(address, prompt, count):
-    client = aiosonic.HTTPClient()
-    for _ in range(200):
-        try:
-            response = await client.request(
-                f"http://{address}/v1/generations",
-                method="POST",
-                data=orjson.dumps({"service": "report", "prompt": prompt, "max_tokens": count}),
-                timeouts=engine_client.STREAM_TIMEOUTS,
-                stream=True,
-            )
-        except OSError:
-            await asyncio.sleep(0.1)
-            continue
-        if response.status_code == 200:
-            break
-        await response.content()
-        await asyncio.sleep(0.1)
-    tokens, end = [], None
-    async for batch in engine_client.Stream(response).batches():
-        for event in batch:
-            if event.name == "tokens":
-                tokens += orjson.loads(event.data)["t"]
-            if event.name == "end":
-                end = orjson.loads(event.data)["final_offset"]
-    return tokens, end
+@pytest.fixture
+def system(tmp_path):
+    """Four gateways in four zones and three engines."""
+    (tmp_path / "bundle.json").write_bytes(sample.sample_bundle())
+    fleet = processes.Fleet(str(tmp_path))
+    ports = processes.free_ports(11)
+    fleet.callers = [f"127.0.0.1:{port}" for port in ports[:4]]
+    fleet.engines = [f"127.0.0.1:{port}" for port in ports[8:]]
+    peers = [f"127.0.0.1:{port}" for port in ports[4:8]]
+    for number, address in enumerate(fleet.callers):
+        fleet.start(
+            f"g{number}",
+            *("gateway", "--gateway-id", f"g{number}", "--listen", address),
+            *("--peer-listen", peers[number], "--peers", ",".join(peers)),
+            *("--availability-zone", sample.ZONES[number]),
+            *("--bundle-file", str(tmp_path / "bundle.json")),
+        )
+    for number, address in enumerate(fleet.engines):
+        fleet.start(
+            f"e{number}",
+            *("engine", "--target-id", f"e{number}", "--listen", address),
+            *("--gateways", ",".join(fleet.callers), "--models", "writer::1"),
+            *("--availability-zone", sample.ZONES[number]),
+        )
+    yield fleet
+    fleet.close()
 
 
-@pytest.mark.processes
-def test_generation_reaches_the_caller_whole():
-    # Guards the thin path: an announced engine's tokens reach the caller, each once, with the end.
-    gateway_port, engine_port = processes.free_ports(2)
-    fleet = processes.Fleet()
-    try:
-        gateway = f"127.0.0.1:{gateway_port}"
-        fleet.start("g1", "gateway", "--gateway-id", "g1", "--listen", gateway)
-        fleet.start(
-            "e1",
-            "engine",
-            "--target-id",
-            "e1",
-            "--listen",
-            f"127.0.0.1:{engine_port}",
-            "--gateways",
-            gateway,
-            "--token-seconds",
-            "0.005",
+async def run_callers(system, fault):
+    """Runs six generations, applies the fault once all have tokens, and returns the answers."""
+    callers = [
+        client.Client(client.CallerSettings(system.callers, "field-key", 40.0), random.Random(seed))
+        for seed in range(6)
+    ]
+    begun = asyncio.Event()
+    begun_count = 0
+
+    def on_tokens(answer):
+        nonlocal begun_count
+        begun_count += len(answer.token_times) == 1
+        if begun_count == len(callers):
+            begun.set()
+
+    tasks = [
+        asyncio.ensure_future(
+            caller.generate("report", f"survey {number}", TOKENS, on_tokens=on_tokens)
         )
-        tokens, end = asyncio.run(generate(gateway, "survey of path 7", 40))
-    finally:
-        fleet.close()
-    assert tokens == expected_tokens(1, "survey of path 7", 40)
-    assert end == 40
+        for number, caller in enumerate(callers)
+    ]
+    # A generation that ends without tokens must fail the test instead of holding it up.
+    waiting = asyncio.ensure_future(begun.wait())
+    await asyncio.wait([waiting, *tasks], return_when=asyncio.FIRST_COMPLETED)
+    fault()
+    return await asyncio.gather(*tasks)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize(
+    ("name", "number"),
+    [
+        ("e0", signal.SIGKILL),
+        ("e0", signal.SIGSTOP),
+        ("g0", signal.SIGKILL),
+        ("g0", signal.SIGSTOP),
+    ],
+)
+def test_answers_are_whole_when_a_process_is_lost(system, name, number):
+    # Guards against lost, repeated or mixed tokens when an engine or a gateway dies or freezes.
+    answers = asyncio.run(run_callers(system, lambda: system.signal(name, number)))
+    for index, answer in enumerate(answers):
+        assert answer.complete, answer.failure
+        assert answer.errors == []
+        assert answer.tokens == expected_tokens(answer.seed, f"survey {index}", TOKENS)
--- /dev/null
+++ b/chiveswitch/tools/sample.py
@@ -0,0 +1,117 @@
+"""A sample bundle and the layout of a small system, for the demo, the measuring tool and tests."""
+
+import hashlib
+
+import orjson
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from chiveswitch.core import bundles
+
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+MODEL = "writer"
+# Keys of the sample's client accounts and operators. They protect nothing.
+KEY_BY_ACCOUNT = {
+    "planning": "planning-key",
+    "desk": "desk-key",
+    "field": "field-key",
+    "office": "office-key",
+}
+SERVICE_DEFAULTS = {"accounts": sorted(KEY_BY_ACCOUNT)}
+
+
+def digest(key: str) -> str:
+    """Returns the hexadecimal sha256 digest of an API key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def bundle_object(operators, version: int = 1, resume_report: str = "latency") -> dict:
+    """Returns a bundle as a JSON object.
+
+    Args:
+        operators: List of JSON objects of operators.
+        version: Version number.
+        resume_report: `resume` setting of the report service.
+    """
+    writer = {"kind": "generation", "model": MODEL, "version": "1", "repeatable": True}
+    services = [
+        {
+            "name": "digest",
+            **writer,
+            "priority": "batch",
+            "on_absence": "continue",
+            "durable": True,
+            "resume": "resources",
+            "wait_limit_s": 60,
+            "keep_answer_s": 300,
+        },
+        {
+            "name": "report",
+            **writer,
+            "priority": "interactive",
+            "on_absence": "continue",
+            "resume": resume_report,
+            "extra_work_percent": 10,
+            "keep_answer_s": 120,
+        },
+        {
+            "name": "draft",
+            **writer,
+            "priority": "interactive",
+            "on_absence": "cancel",
+            "absence_grace_s": 5,
+            "resume": "resources",
+        },
+        {
+            "name": "stock",
+            "kind": "call",
+            "target_kind": "service",
+            "repeatable": True,
+            "priority": "lookup",
+        },
+        {
+            "name": "dispatch",
+            "kind": "call",
+            "target_kind": "service",
+            "repeatable": False,
+            "priority": "interactive",
+        },
+    ]
+    return {
+        "format": 1,
+        "version": version,
+        "models": [{"name": MODEL, "adapters": [], "versions": ["1"], "engines": 1}],
+        "accounts": [
+            {
+                "name": name,
+                "key_digests": [digest(key)],
+                "requests_per_second": 100_000,
+                "open_requests": 100_000,
+            }
+            for name, key in sorted(KEY_BY_ACCOUNT.items())
+        ],
+        "operators": operators,
+        "services": [{**SERVICE_DEFAULTS, **service} for service in services],
+    }
+
+
+def sample_operators() -> list:
+    """Returns the operators of the sample: a writer, an approver and an operator who rolls."""
+    people = []
+    for name, role in (("wren", "writer"), ("amos", "approver"), ("olga", "operator")):
+        seed = hashlib.sha256(f"sample key of {name}".encode()).digest()
+        public = ed25519.Ed25519PrivateKey.from_private_bytes(seed).public_key()
+        people.append(
+            {
+                "name": name,
+                "role": role,
+                "public_key": public.public_bytes_raw().hex(),
+                "key_digest": digest(f"{name}-key"),
+            }
+        )
+    return people
+
+
+def sample_bundle(**options) -> bytes:
+    """Returns the canonical bytes of the sample bundle; options as for `bundle_object`."""
+    result = bundles.parse(orjson.dumps(bundle_object(sample_operators(), **options)))
+    return bundles.canonical(result.ok)
--- a/chiveswitch/tools/standins.py
+++ b/chiveswitch/tools/standins.py
@@ -30,7 +30,7 @@
             "availability_zone": settings.availability_zone,
             "address": settings.listen,
             "models": [list(model) for model in engine.models],
-            "role": "decode",
+            "role": "mixed",
             "load": engine.load(),
             "warm": [],
             "honours_fencing": True,
