--- a/chiveswitch/callers/app.py
+++ b/chiveswitch/callers/app.py
@@ -16,15 +16,15 @@
 REFUSAL_WAIT_SECONDS = 0.5
 
 
-def error_response(code: codes.Code, message: str):
-    """Returns the HTTP response of a result code."""
+def error_response(code: codes.Code, message: str, is_first_send: bool = True):
+    """Returns the HTTP response of a result code; see `codes.to_json`."""
     meaning = codes.MEANING_BY_CODE[code]
-    return json_response(codes.to_json(code, message), meaning.http_status)
+    return json_response(codes.to_json(code, message, is_first_send), meaning.http_status)
 
 
-def failure_response(failure: codes.Failure):
+def failure_response(failure: codes.Failure, is_first_send: bool = True):
     """Returns the HTTP response of a `codes.Failure`."""
-    return error_response(failure.code, failure.message)
+    return error_response(failure.code, failure.message, is_first_send)
 
 
 def json_response(value, status: int = 200, headers=None):
@@ -34,6 +34,11 @@
     )
 
 
+def raw_response(body: bytes, status: int):
+    """Returns a target's answer as it came; control keeps no body above its limit."""
+    return responses.Response(body, status_code=status or 200, media_type="application/json")
+
+
 async def read_json(request):
     """Reads a JSON object from the body, bounded in size.
 
@@ -84,6 +89,11 @@
     return answer, int(number), int(offset)
 
 
+def is_first_send(request) -> bool:
+    """Returns whether the caller says that it never sent this request before."""
+    return request.headers.get("x-first-send") == "true"
+
+
 def bearer(request) -> str:
     """Returns the bearer token of a request, or an empty string."""
     scheme, _, token = request.headers.get("authorization", "").partition(" ")
@@ -160,7 +170,7 @@
             backend.forget(reader)
             if failure.code is codes.Code.OK:
                 return json_response({"cancelled": True}, headers=headers)
-            return failure_response(failure)
+            return failure_response(failure, reader.is_first_send)
         media_type = "text/event-stream" if reader.streamed else "application/json"
         return responses.StreamingResponse(
             reader.body(), media_type=media_type, headers={**headers, "cache-control": "no-store"}
@@ -194,7 +204,7 @@
         request_id = request.headers.get("idempotency-key", "")
         if len(request_id) > MAX_ID_LENGTH:
             return error_response(codes.Code.BAD_REQUEST, "The request id is too long.")
-        is_first = not request_id or request.headers.get("x-first-send") == "true"
+        is_first = not request_id or is_first_send(request)
         reader = backend.submit(
             account,
             request_id,
@@ -239,6 +249,7 @@
         return await backend.call(
             account,
             request.headers.get("idempotency-key", ""),
+            is_first_send(request),
             body["service"],
             body.get("body"),
             request.headers.get("traceparent", ""),
--- a/chiveswitch/callers/readers.py
+++ b/chiveswitch/callers/readers.py
@@ -20,6 +20,7 @@
         reader_id: Id, unique in this process.
         key: Tuple (account, request id).
         streamed: Whether tokens are sent as events; else the answer is one JSON object.
+        is_first_send: Whether the caller says that it never sent the request before.
         opened: Future of None once the answer has begun, or of the `codes.Failure`.
         pushed_at: Time of the last push, in seconds.
     """
@@ -28,6 +29,7 @@
         "reader_id",
         "key",
         "streamed",
+        "is_first_send",
         "opened",
         "pushed_at",
         "_chunks",
@@ -41,10 +43,11 @@
         "_task",
     )
 
-    def __init__(self, key, streamed: bool, on_read, on_left):
+    def __init__(self, key, streamed: bool, on_read, on_left, is_first_send=True):
         self.reader_id = next(_ids)
         self.key = key
         self.streamed = streamed
+        self.is_first_send = is_first_send
         self.opened = asyncio.get_running_loop().create_future()
         self.pushed_at = clock.now()
         self._chunks = []
@@ -92,7 +95,7 @@
             self.opened.set_result(codes.Failure(code, message))
             self._finish()
             return
-        data = orjson.dumps(codes.to_json(code, message))
+        data = orjson.dumps(codes.to_json(code, message, self.is_first_send))
         self._push(sse.encode("error", data) if self.streamed else data)
         self._finish()
         if code is codes.Code.SLOW_READER and self._task is not None:
--- a/chiveswitch/core/codes.py
+++ b/chiveswitch/core/codes.py
@@ -175,13 +175,28 @@
     return expression.Ok(value)
 
 
-def to_json(code: Code, message: str) -> dict:
-    """Returns the JSON object that an HTTP error response carries."""
+# Refusals for lack of capacity. They say "not run" of one submission only.
+REFUSAL_CODES = range(3000, 4000)
+
+
+def to_json(code: Code, message: str, is_first_send: bool = True) -> dict:
+    """Returns the JSON object that an HTTP error response carries.
+
+    Args:
+        code: The result code.
+        message: One sentence.
+        is_first_send: Whether the caller says that it never sent the request before. A refused
+            resend says nothing about what became of the earlier submission, so its fate is
+            unknown then.
+    """
     meaning = MEANING_BY_CODE[code]
+    run = meaning.run
+    if code in REFUSAL_CODES and not is_first_send:
+        run = Run.UNKNOWN
     return {
         "code": int(code),
         "name": code.name,
-        "run": meaning.run.value,
+        "run": run.value,
         "retry": meaning.retry.value,
         "message": message,
     }
--- a/chiveswitch/core/gateway.py
+++ b/chiveswitch/core/gateway.py
@@ -743,6 +743,48 @@
         )
         return result.ok if result.is_ok() else None
 
+    def usable_address(self, target: str, now: float) -> str:
+        """Returns the address of a target if it may get new work at this moment, else empty."""
+        for entry in self.directory.usable_targets(now):
+            if entry.description.id == target:
+                return entry.description.address
+        return ""
+
+    def take_retry(self, account: str, now: float) -> bool:
+        """Takes one retry from the budgets; returns whether there was one."""
+        return self._budget.take(account, now)
+
+    def admit_call(self, account: str, service, call_id, now: float):
+        """Admits a plain service call, which is not queued.
+
+        Returns:
+            None, or why the call is refused as a `codes.Failure`. An admitted call is ended by
+            `finish_call`.
+        """
+        failure = self.refusal(now)
+        if failure is not None:
+            return failure
+        pool = self._call_pool()
+        priority = PRIORITY_BY_NAME[service.priority]
+        request = admission.Request(call_id, account, priority, service.wait_limit_s)
+        result = pool.offer(request, now)
+        if result.is_error():
+            return result.error
+        pool.take(1, now)
+        self._retry.admitted(account, now)
+        return None
+
+    def finish_call(self, call_id):
+        """Ends an admitted call."""
+        self._call_pool().finish(call_id)
+
+    def _call_pool(self):
+        pool = self._pool_by_model.get(None)
+        if pool is None:
+            pool = self._pool_by_model[None] = admission.Admission(self.settings.admission, 0.0)
+            self._set_limits(pool)
+        return pool
+
     def attempt_started(self, request, number, target, now):
         """Notes a send and returns the target's address."""
         entry = self.directory.by_id.get(target)
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -8,7 +8,7 @@
 import uuid
 
 from chiveswitch.callers import app as callers_app
-from chiveswitch.callers import readers
+from chiveswitch.callers import call_runner, readers
 from chiveswitch.core import addresses, bundles, clock, codes, directory, gateway, journal
 from chiveswitch.core import gateway_messages as messages
 from chiveswitch.core import generation_messages, telemetry
@@ -23,6 +23,8 @@
 PULL_INTERVAL_SECONDS = 0.4
 PULL_PEERS = 2
 PULL_TIMEOUT_SECONDS = 0.35
+# Replies of a holder count as evidence of life at most this often, since each one is spread.
+CONTACT_INTERVAL_SECONDS = 0.3
 
 
 class Gateway:
@@ -60,6 +62,8 @@
         self._span_by_key = {}
         self._reply_by_token = {}
         self._next_token = 0
+        self._next_call = 0
+        self._calls = call_runner.CallRunner(self.core, None, self.core.epochs.holder)
         self._link_by_address = {}
         self._streams = streams.Streams(engine_client.EngineClient(), self.post)
         self._tasks = []
@@ -90,7 +94,7 @@
         """Posts a new generation and returns its reader."""
         request_id = request_id or uuid.UUID(int=self._rng.getrandbits(128)).hex
         key = (account, request_id)
-        reader = self._new_reader(key, streamed, "gateway.generate", traceparent)
+        reader = self._new_reader(key, streamed, "gateway.generate", traceparent, is_first_send)
         event = messages.Submit(
             reader.reader_id,
             account,
@@ -118,11 +122,35 @@
         self.post([messages.Cancel(reader.reader_id, account, request_id)])
         return reader
 
-    async def call(self, account, key, service, body, traceparent):
+    async def call(self, account, key, is_first_send, name, body, traceparent):
         """Makes a plain service call and returns its HTTP response."""
-        return callers_app.error_response(
-            codes.Code.SERVICE_UNKNOWN, "Calls are not served by this build."
-        )
+        now = clock.now()
+        failure = self.core.permitted(account, name, "call")
+        if failure is not None:
+            return callers_app.failure_response(failure)
+        service = self.core.service(name)
+        self._next_call += 1
+        call_id = self._next_call
+        failure = self.core.admit_call(account, service, call_id, now)
+        if failure is not None:
+            self.telemetry.count(f"refused.{failure.code.name}")
+            return callers_app.failure_response(failure, is_first_send or not key)
+        span = self.telemetry.span("gateway.call", traceparent, service=name)
+        try:
+            response = await self._calls.run(
+                account, key, service, body, self.telemetry.traceparent(span)
+            )
+            span.set_attribute("outcome", response.code.name)
+        finally:
+            self.core.finish_call(call_id)
+            span.end()
+        self.telemetry.timing("call", clock.now() - now)
+        if response.code is not codes.Code.OK:
+            self.telemetry.count(f"refused.{response.code.name}")
+            return callers_app.error_response(
+                response.code, response.message, is_first_send or not key
+            )
+        return callers_app.raw_response(response.body, response.status)
 
     def status(self) -> dict:
         """Returns what `chiveswitch status` shows."""
@@ -161,8 +189,8 @@
         """Drops a reader that was refused."""
         self._reader_by_id.pop(reader.reader_id, None)
 
-    def _new_reader(self, key, streamed, span_name, traceparent):
-        reader = readers.Reader(key, streamed, self._reader_read, self.reader_left)
+    def _new_reader(self, key, streamed, span_name, traceparent, is_first_send=False):
+        reader = readers.Reader(key, streamed, self._reader_read, self.reader_left, is_first_send)
         self._reader_by_id[reader.reader_id] = reader
         if key not in self._span_by_key:
             self._span_by_key[key] = self.telemetry.span(span_name, traceparent, request=key[1])
@@ -212,7 +240,7 @@
                 loop.add_signal_handler(number, on_signal)
         try:
             while not drained.done():
-                if self.core.is_drained(clock.now()):
+                if self.core.is_drained(clock.now()) and not self._calls.open_calls():
                     drained.set_result(True)
                 done, _ = await asyncio.wait(
                     [main, drained], timeout=0.1, return_when=asyncio.FIRST_COMPLETED
@@ -261,6 +289,7 @@
             await asyncio.sleep(TICK_SECONDS)
             self.post([messages.Tick()])
             now = clock.now()
+            self._calls.tick(now)
             if now >= heartbeat_at:
                 heartbeat_at = now + readers.HEARTBEAT_SECONDS / 2
                 for reader in list(self._reader_by_id.values()):
@@ -288,11 +317,16 @@
         link = self._link(entry.description.peer_address)
         if link.post(kinds.Kind.JOURNAL, frame, future=future) is None:
             return
-        future.add_done_callback(lambda done: self._journal_replied(holder, done))
+        sent_at = clock.now()
+        future.add_done_callback(lambda done: self._journal_replied(holder, sent_at, done))
 
-    def _journal_replied(self, holder, future):
+    def _journal_replied(self, holder, sent_at, future):
         if future.cancelled() or future.result().is_error():
             return
+        gateway_id, _, incarnation = holder.rpartition(".")
+        # Pulls alone are too rare to tell within 1.2 s that a holder lives.
+        if self.core.directory.age(gateway_id, sent_at) > CONTACT_INTERVAL_SECONDS:
+            self.core.directory.note_contact(gateway_id, int(incarnation), sent_at)
         replies = decode_journal(future.result().ok, holder)
         if replies:
             self.post([messages.JournalReceived(holder, replies)])
