--- a/chiveswitch/peers/frames.py
+++ b/chiveswitch/peers/frames.py
@@ -9,6 +9,7 @@
 from thriftpy2.transport import memory
 
 from chiveswitch.core import codes
+from chiveswitch.peers import strict
 
 WIRE_VERSION = 1
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -36,12 +37,11 @@
     Returns:
         Ok with the filled struct, or FRAME_INVALID.
     """
-    protocol = cybin.TCyBinaryProtocol(memory.TCyMemoryBuffer(data))
-    try:
-        protocol.read_struct(value)
-    # The decoder raises many kinds of errors on bytes that are not a struct.
-    except Exception as error:
-        return codes.failure(codes.Code.FRAME_INVALID, f"{type(value).__name__}: {error!r}")
+    # The library's fast decoder trusts lengths and counts in the bytes; they are checked first.
+    failure = strict.check(type(value), data)
+    if failure is not None:
+        return expression.Error(failure)
+    cybin.TCyBinaryProtocol(memory.TCyMemoryBuffer(data)).read_struct(value)
     return expression.Ok(value)
 
 
@@ -66,14 +66,10 @@
     if result.is_error():
         return result
     envelope = result.ok
-    if envelope.kind is None or envelope.request_id is None or envelope.version is None:
-        return codes.failure(codes.Code.FRAME_INVALID, "the envelope lacks a required field")
     if envelope.version != WIRE_VERSION:
         return codes.failure(
             codes.Code.VERSION_UNSUPPORTED, f"wire version {envelope.version} is not supported"
         )
-    if envelope.payload is None:
-        envelope.payload = b""
     if isinstance(envelope.payload, str):
         envelope.payload = envelope.payload.encode()
     return expression.Ok(envelope)
--- /dev/null
+++ b/chiveswitch/peers/links_test.py
@@ -0,0 +1,98 @@
+"""Tests of links over loopback."""
+
+import asyncio
+
+import expression
+
+from chiveswitch.core import codes
+from chiveswitch.peers import kinds, links
+from chiveswitch.tools import processes
+
+KIND = kinds.Kind.DIRECTORY_PULL
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 30))
+
+
+async def start(handler):
+    port = processes.free_port()
+    server = links.Server({KIND: handler})
+    await server.start("127.0.0.1", port)
+    return server, links.Link(f"127.0.0.1:{port}")
+
+
+async def call_until_ok(link, payload):
+    while True:
+        result = await link.call(KIND, payload, 1.0)
+        if result.is_ok():
+            return result.ok
+
+
+def test_replies_reach_their_callers():
+    # Guards against crossed replies when a later request is answered first.
+    async def scenario():
+        async def handler(payload, trace):
+            await asyncio.sleep(0.05 if payload == b"slow" else 0)
+            return expression.Ok(payload + b"!")
+
+        server, link = await start(handler)
+        await call_until_ok(link, b"first")
+        answers = await asyncio.gather(link.call(KIND, b"slow", 2.0), link.call(KIND, b"q", 2.0))
+        await link.close()
+        await server.close()
+        return [answer.ok for answer in answers]
+
+    assert run(scenario()) == [b"slow!", b"q!"]
+
+
+def test_failing_handler_answers_with_a_code():
+    async def scenario():
+        async def handler(payload, trace):
+            raise RuntimeError("fault")
+
+        server, link = await start(handler)
+        result = await link.call(KIND, b"", 2.0)
+        while result.error.code == codes.Code.LINK_CLOSED:
+            result = await link.call(KIND, b"", 2.0)
+        await link.close()
+        await server.close()
+        return result.error.code
+
+    assert run(scenario()) == codes.Code.INTERNAL
+
+
+def test_link_leaves_a_silent_connection():
+    # Guards against a connection that stays open but carries nothing, while new ones work.
+    async def scenario():
+        port = processes.free_port()
+        silent = True
+        server = links.Server({KIND: lambda payload, trace: expression.Ok(b"ok")})
+
+        async def accept(reader, writer):
+            if silent:
+                await asyncio.sleep(30)
+            await server._serve(reader, writer)
+
+        listener = await asyncio.start_server(accept, "127.0.0.1", port)
+        link = links.Link(f"127.0.0.1:{port}")
+        first = await link.call(KIND, b"", 0.1)
+        silent = False
+        answer = await call_until_ok(link, b"")
+        await link.close()
+        listener.close()
+        return first.error.code, answer
+
+    first, answer = run(scenario())
+    assert first in (codes.Code.LINK_TIMEOUT, codes.Code.LINK_CLOSED)
+    assert answer == b"ok"
+
+
+def test_unreachable_peer_fails_calls_at_once():
+    async def scenario():
+        link = links.Link(f"127.0.0.1:{processes.free_port()}")
+        result = await link.call(KIND, b"", 10.0)
+        await link.close()
+        return result.error.code
+
+    assert run(scenario()) == codes.Code.LINK_CLOSED
--- a/chiveswitch/peers/strict.py
+++ b/chiveswitch/peers/strict.py
@@ -50,14 +50,22 @@
     Returns:
         Ok with the struct, or FRAME_INVALID.
     """
+    failure = check(struct_class, data)
+    if failure is not None:
+        return expression.Error(failure)
+    return expression.Ok(utils.deserialize(struct_class(), data))
+
+
+def check(struct_class: type, data: bytes):
+    """Returns None if the bytes are a whole struct of the class, else a FRAME_INVALID `Failure`."""
     try:
         end = check_struct(struct_class, data, 0)
         if end != len(data):
             raise WireError("has trailing bytes")
     except (WireError, struct.error, IndexError, UnicodeDecodeError) as error:
         message = f"{struct_class.__name__} is not valid: {error}"
-        return codes.failure(codes.Code.FRAME_INVALID, message)
-    return expression.Ok(utils.deserialize(struct_class(), data))
+        return codes.Failure(codes.Code.FRAME_INVALID, message)
+    return None
 
 
 def check_struct(struct_class: type, data: bytes, at: int) -> int:
