--- a/chiveswitch/tools/processes.py
+++ b/chiveswitch/tools/processes.py
@@ -3,31 +3,38 @@
 Only the tools that drive a run use this module; no daemon starts another process.
 """
 
+import itertools
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 
+# Ports below the range from which the kernel takes those of outgoing connections: a port from that
+# range can be taken between its choice and the start of the process that is to listen on it.
+FIRST_PORT = 15_000
+LAST_PORT = 31_000
+_next_port = itertools.count(random.SystemRandom().randrange(FIRST_PORT, LAST_PORT))
+
 
 def free_port() -> int:
-    """Returns a TCP port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a TCP port of the loopback address that is free now and was not returned before."""
+    for number in _next_port:
+        port = FIRST_PORT + number % (LAST_PORT - FIRST_PORT)
+        with socket.socket() as probe:
+            # Connections of an earlier run may linger in TIME_WAIT; listeners ignore them.
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def free_ports(count: int) -> list:
     """Returns distinct free ports."""
-    probes = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
-        probes.append(probe)
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
+    return [free_port() for _ in range(count)]
 
 
 class Fleet:
--- a/chiveswitch/tools/serving.py
+++ b/chiveswitch/tools/serving.py
@@ -55,3 +55,12 @@
     """Stops a server after its open responses have ended."""
     server.should_exit = True
     await server.task
+
+
+async def abort(server: Server):
+    """Stops a server at once and resets its connections."""
+    for connection in list(server.server_state.connections):
+        connection.transport.abort()
+    server.force_exit = True
+    server.should_exit = True
+    await server.task
