--- /dev/null
+++ b/chiveswitch/peers/control_rpc.thrift
@@ -0,0 +1,29 @@
+// Requests of gateways and tools to control, and the answers.
+
+// command is the bytes of control_state.encode; the leader replaces its time by its own.
+struct Propose { 1: required binary command }
+// code 1000 says that the command was applied and answer holds control_state.encode_result.
+struct ProposeAnswer { 1: required i32 code, 2: required string message,
+  3: required string leader_address, 4: required binary answer }
+
+struct Heartbeat { 1: required string gateway_id, 2: required i64 incarnation,
+  3: required string availability_zone, 4: required string address, 5: required string state,
+  6: required i64 known_serial, 7: required i64 known_gateways }
+struct LiveGateway { 1: required string gateway_id, 2: required i64 incarnation,
+  3: required string availability_zone, 4: required string address, 5: required string state }
+struct Adoption { 1: required string account, 2: required string request_id,
+  3: required i64 generation }
+// bundle is empty unless serial is above the known one. gateways is empty if gateways_digest is
+// the known one: the list of 340 gateways in each answer would exceed a node's 10 KB/s.
+struct HeartbeatAnswer { 1: required i32 code, 2: required string message,
+  3: required string leader_address, 4: required i64 serial, 5: required binary bundle,
+  6: required list<Adoption> adoptions, 7: required i64 gateways_digest,
+  8: required list<LiveGateway> gateways }
+
+// An empty request_id asks for the status only.
+struct Read { 1: required string account, 2: required string request_id }
+// body is the request's body, empty once it has finished; status is JSON.
+struct ReadAnswer { 1: required i32 code, 2: required string message,
+  3: required string leader_address, 4: required bool found, 5: required binary body,
+  6: required string owner, 7: required i64 generation, 8: required bool finished,
+  9: required binary status }
--- /dev/null
+++ b/chiveswitch/peers/control_server.py
@@ -0,0 +1,471 @@
+"""The server of a control process: one task owns the replicated log's node and the applied state.
+
+Requests of peers, gateways and tools are events in the task's inbox; all events of one wake-up go
+through `consensus.Node.handle_all` together, so that many proposals share one sync. A thread of its
+own writes the data folder, because a sync must not delay heartbeats.
+"""
+
+import asyncio
+import concurrent.futures
+import logging
+import random
+import time
+
+import expression
+import orjson
+
+from chiveswitch.core import clock, codes, consensus, control_state, leases
+from chiveswitch.core import consensus_messages as messages
+from chiveswitch.peers import consensus_codec, kinds, links, strict
+
+log = logging.getLogger("chiveswitch.control")
+
+rpc = strict.load("control_rpc.thrift")
+
+DISK_FULL_PAUSE_SECONDS = 0.2
+
+
+class ControlServer:
+    """One member of control.
+
+    Attributes:
+        node: The `consensus.Node`.
+        state: The applied `control_state.ControlState`.
+        leases: `leases.Leases` of this leader's term, or None while not leading.
+        failed: Future that gets a `codes.Failure` when the server cannot go on.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        folder,
+        operators: list | None = None,
+        limits: control_state.Limits | None = None,
+        settings: consensus.Settings | None = None,
+        rng: random.Random | None = None,
+        telemetry=None,
+    ):
+        """Takes over an open data folder; must be called inside a running event loop.
+
+        Args:
+            address: Own `ip:port` for the other members, gateways and tools.
+            folder: `data_folder.DataFolder`.
+            operators: JSON objects of the first operators, proposed by a leader whose state has
+                none.
+            limits: Limits of the control state, equal on all members.
+            settings: Settings of the node, equal on all members.
+            rng: Source of the election timeouts.
+            telemetry: `telemetry.Telemetry`, or None.
+        """
+        self.address = address
+        self.leases = None
+        self.failed = asyncio.get_running_loop().create_future()
+        self._folder = folder
+        self._operators = operators or []
+        self._limits = limits or control_state.Limits()
+        self._telemetry = telemetry
+        self._now = clock.now
+        stored = folder.stored
+        self.state = self._restored(stored.snapshot.data)
+        self.node = consensus.Node(
+            folder.node_id,
+            stored,
+            settings or consensus.Settings(),
+            rng or random.Random(),
+            self._now(),
+        )
+        self._inbox = []
+        self._wake = asyncio.Event()
+        self._link_by_address = {}
+        self._address_by_id = {}
+        self._to_store = []
+        self._store_wake = asyncio.Event()
+        self._result_by_index = {}
+        # Tokens of the last `Persist` added to the log and of the last action that is durable.
+        self._added_token = 0
+        self._written_token = 0
+        self._executor = concurrent.futures.ThreadPoolExecutor(1, "storage")
+        self._server = links.Server(
+            {
+                kinds.Kind.CONSENSUS: self._serve_consensus,
+                kinds.Kind.CONTROL_HEARTBEAT: self._serve_heartbeat,
+                kinds.Kind.CONTROL_PROPOSE: self._serve_propose,
+                kinds.Kind.CONTROL_READ: self._serve_read,
+            }
+        )
+        self._tasks = set()
+
+    # Life of the server.
+
+    async def start(self):
+        """Starts to listen and to take part. Raises OSError if the address cannot be bound."""
+        host, _, port = self.address.rpartition(":")
+        await self._server.start(host, int(port))
+        for each in (self._main(), self._store()):
+            self._spawn(each)
+
+    async def close(self):
+        """Stops after the records handed to the disk are written."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for link in self._link_by_address.values():
+            await link.close()
+        await self._server.close()
+        self._executor.shutdown()
+        self._folder.close()
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("control: a task failed", exc_info=task.exception())
+            self._fail(codes.Failure(codes.Code.INTERNAL, repr(task.exception())))
+
+    def _fail(self, failure):
+        if not self.failed.done():
+            self.failed.set_result(failure)
+
+    def _restored(self, data):
+        if not data:
+            return control_state.ControlState(self._limits)
+        restored = control_state.restore(data, self._limits)
+        if restored.is_error():
+            # Without the state of its snapshot this member would apply commands to another state.
+            raise ValueError(f"the snapshot is not usable: {restored.error!r}")
+        return restored.ok
+
+    # Interface for the administration API and for the handlers below.
+
+    def leader_address(self) -> str:
+        """Returns the address of the leader as far as known, or an empty string."""
+        return self.node.log.configuration().members().get(self.node.leader_id, "")
+
+    async def propose(self, record) -> expression.Result:
+        """Appends a command of `control_state` and waits until it is applied here.
+
+        Args:
+            record: A command struct of `control_state.control_thrift`.
+
+        Returns:
+            The result of the command. NOT_LEADER or QUEUE_FULL if it was not appended and never
+            will be; MAY_HAVE_RUN if its fate is unknown.
+        """
+        data = control_state.encode(record, int(time.time() * 1000))
+        future = asyncio.get_running_loop().create_future()
+        self._post(messages.Propose(future, data))
+        return await future
+
+    async def confirm(self) -> expression.Result:
+        """Waits until a majority confirms that `state` may be read now; NOT_LEADER if not."""
+        future = asyncio.get_running_loop().create_future()
+        self._post(messages.Read(future))
+        return await future
+
+    async def change_members(self, event) -> expression.Result:
+        """Adds or removes a member by a `consensus_messages` event whose proposal id is None."""
+        event.proposal_id = asyncio.get_running_loop().create_future()
+        self._post(event)
+        return await event.proposal_id
+
+    def status(self) -> dict:
+        """Returns what `chiveswitch status` shows of this member, which may lag behind."""
+        node = self.node
+        live = self.leases.live(self._now()) if self.leases is not None else []
+        configuration = node.log.configuration()
+        return {
+            "node_id": node.node_id,
+            "role": node.role.value,
+            "term": node.term,
+            "leader_id": node.leader_id or "",
+            "leader_address": self.leader_address(),
+            "commit_index": node.commit_index,
+            "applied_index": node.applied_index,
+            "voters": configuration.voters,
+            "learners": configuration.learners,
+            "serial": self.state.serial,
+            "rolled_version": self.state.rolled_version,
+            "latest_version": self.state.latest_version,
+            "unfinished_requests": sum(not e.finished for e in self.state.requests.values()),
+            "gateways": [lease.holder() for lease in live],
+        }
+
+    # The main task.
+
+    def _post(self, event):
+        self._inbox.append(event)
+        self._wake.set()
+
+    async def _main(self):
+        while True:
+            try:
+                async with asyncio.timeout(max(0.0, self.node.next_deadline() - self._now())):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            events, self._inbox = self._inbox, []
+            actions = self.node.handle_all(events or [messages.Tick()], self._now())
+            batch_by_member = {}
+            for action in actions:
+                if type(action) is messages.Send:
+                    batch_by_member.setdefault(action.to, []).append(action.message)
+                    continue
+                HANDLER_BY_ACTION[type(action)](self, action)
+            self._result_by_index.clear()
+            for member_id, batch in batch_by_member.items():
+                self._send(member_id, batch)
+
+    def _send(self, member_id, batch):
+        members = self.node.log.configuration().members()
+        address = members.get(member_id) or self._address_by_id.get(member_id)
+        if address is None:
+            return
+        link = self._link_by_address.get(address)
+        if link is None:
+            link = self._link_by_address[address] = links.Link(address)
+        frame = consensus_codec.encode_frame(member_id, self.node.node_id, self.address, batch)
+        link.post(kinds.Kind.CONSENSUS, frame)
+
+    # Actions.
+
+    def _hand_to_storage(self, action):
+        self._to_store.append(action)
+        self._store_wake.set()
+
+    def _apply(self, action):
+        for entry in action.entries:
+            if entry.kind == messages.EntryKind.COMMAND:
+                result = self.state.apply(entry.index, entry.term, entry.data)
+                self._result_by_index[entry.index] = result
+
+    def _restore(self, action):
+        self.state = self._restored(action.snapshot.data)
+
+    def _take_snapshot(self, action):
+        self._post(messages.SnapshotTaken(action.index, self.state.snapshot()))
+
+    def _proposal_done(self, action):
+        future = action.proposal_id
+        if future.done():
+            return
+        result = action.result
+        if result.is_ok():
+            # Membership changes are no commands of the state and have no result of their own.
+            result = self._result_by_index.get(result.ok[0], result)
+        future.set_result(result)
+
+    def _read_done(self, action):
+        if not action.read_id.done():
+            action.read_id.set_result(action.result)
+
+    def _role_changed(self, action):
+        role, leader_id = action.role, action.leader_id
+        log.info("control: %s in term %s, leader %s", role.value, action.term, leader_id)
+        self.leases = None
+        if action.role == consensus.Role.LEADER:
+            self.leases = leases.Leases(self._now())
+            if self._operators:
+                self._spawn(self._bootstrap())
+
+    def _configuration_changed(self, action):
+        log.info("control: members %r", action.configuration)
+        addresses = set(action.configuration.members().values())
+        for address in [each for each in self._link_by_address if each not in addresses]:
+            self._spawn(self._link_by_address.pop(address).close())
+
+    async def _bootstrap(self):
+        confirmed = await self.confirm()
+        if confirmed.is_error() or self.state.operators or self.state.latest_version:
+            return
+        keys = [control_state.control_thrift.OperatorKey(**each) for each in self._operators]
+        result = await self.propose(control_state.control_thrift.Bootstrap(operators=keys))
+        if result.is_error():
+            log.warning("control: the first operators were refused: %s", result.error.message)
+
+    # Storage.
+
+    async def _store(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._store_wake.wait()
+            self._store_wake.clear()
+            actions, self._to_store = self._to_store, []
+            while actions:
+                done, failure = await loop.run_in_executor(self._executor, self._write, actions)
+                del actions[:done]
+                if done:
+                    self._post(messages.Persisted(self._written_token))
+                if failure is None:
+                    continue
+                if failure.code != codes.Code.DISK_FULL:
+                    self._fail(failure)
+                    return
+                log.warning("control: %s", failure.message)
+                await asyncio.sleep(DISK_FULL_PAUSE_SECONDS)
+
+    def _write(self, actions):
+        """Runs in the storage thread; returns how many actions are durable and a failure."""
+        position = 0
+        while position < len(actions):
+            action = actions[position]
+            if type(action) is messages.SaveSnapshot:
+                result = self._folder.save_snapshot(action.snapshot)
+                end = position + 1
+            else:
+                end = position
+                while end < len(actions) and type(actions[end]) is messages.Persist:
+                    # A failed commit keeps its records, so that they are not added again.
+                    if actions[end].token > self._added_token:
+                        self._folder.append(actions[end].records)
+                        self._added_token = actions[end].token
+                    end += 1
+                result = self._folder.commit()
+            if result.is_error():
+                return position, result.error
+            position = end
+            self._written_token = actions[end - 1].token
+        return position, None
+
+    # Handlers of the server.
+
+    def _serve_consensus(self, payload, _trace):
+        decoded = consensus_codec.decode_frame(payload)
+        if decoded.is_error():
+            log.warning("control: dropped a frame: %s", decoded.error.message)
+            return decoded
+        to, sender, address, batch = decoded.ok
+        if to != self.node.node_id:
+            return codes.failure(codes.Code.LINK_CLOSED, "this is another member")
+        self._address_by_id[sender] = address
+        for message in batch:
+            self._post(messages.Received(sender, message))
+        return expression.Ok(b"")
+
+    async def _serve_propose(self, payload, _trace):
+        decoded = strict.decode(rpc.Propose, payload)
+        if decoded.is_error():
+            return decoded
+        command = control_state.decode(decoded.ok.command)
+        if command.is_error():
+            return command
+        result = await self.propose(command.ok[0])
+        code, message, answer = codes.Code.OK, "", b""
+        if result.is_error() and result.error.code in NOT_APPLIED:
+            code, message = result.error.code, result.error.message
+        else:
+            answer = control_state.encode_result(result)
+        return expression.Ok(
+            strict.encode(
+                rpc.ProposeAnswer(
+                    code=int(code),
+                    message=message,
+                    leader_address=self.leader_address(),
+                    answer=answer,
+                )
+            )
+        )
+
+    async def _serve_heartbeat(self, payload, _trace):
+        decoded = strict.decode(rpc.Heartbeat, payload)
+        if decoded.is_error():
+            return decoded
+        asked = decoded.ok
+        heard_at = self._now()
+        # A leader that was replaced would confirm an old serial from its own state.
+        confirmed = await self.confirm()
+        answer = rpc.HeartbeatAnswer(
+            code=int(codes.Code.OK),
+            message="",
+            leader_address=self.leader_address(),
+            serial=0,
+            bundle=b"",
+            adoptions=[],
+            gateways_digest=0,
+            gateways=[],
+        )
+        if confirmed.is_error() or self.leases is None:
+            answer.code = int(codes.Code.NOT_LEADER)
+            answer.message = "This member is not the leader."
+            return expression.Ok(strict.encode(answer))
+        self.leases.hear(
+            leases.Lease(
+                asked.gateway_id,
+                asked.incarnation,
+                asked.availability_zone,
+                asked.address,
+                asked.state,
+                heard_at,
+            )
+        )
+        self._fill_heartbeat(asked, answer)
+        return expression.Ok(strict.encode(answer))
+
+    def _fill_heartbeat(self, asked, answer):
+        now = self._now()
+        state = self.state
+        answer.serial = state.serial
+        entry = state.bundle_in_force()
+        if entry is not None and state.serial > asked.known_serial:
+            answer.bundle = entry.content
+        holder = f"{asked.gateway_id}.{asked.incarnation}"
+        answer.adoptions = [
+            rpc.Adoption(
+                account=entry.account, request_id=entry.request_id, generation=entry.generation
+            )
+            for entry in self.leases.adoptions(holder, state.requests.values(), now)
+        ]
+        live = self.leases.live(now)
+        answer.gateways_digest = leases.digest(live)
+        if answer.gateways_digest != asked.known_gateways:
+            answer.gateways = [rpc.LiveGateway(*lease.description()) for lease in live]
+
+    async def _serve_read(self, payload, _trace):
+        decoded = strict.decode(rpc.Read, payload)
+        if decoded.is_error():
+            return decoded
+        asked = decoded.ok
+        confirmed = await self.confirm()
+        answer = rpc.ReadAnswer(
+            code=int(codes.Code.OK),
+            message="",
+            leader_address=self.leader_address(),
+            found=False,
+            body=b"",
+            owner="",
+            generation=0,
+            finished=False,
+            status=b"",
+        )
+        if confirmed.is_error():
+            answer.code = int(confirmed.error.code)
+            answer.message = confirmed.error.message
+        elif not asked.request_id:
+            answer.status = orjson.dumps(self.status())
+        else:
+            entry = self.state.requests.get((asked.account, asked.request_id))
+            if entry is not None:
+                answer.found = True
+                for name in ("body", "owner", "generation", "finished"):
+                    setattr(answer, name, getattr(entry, name))
+        return expression.Ok(strict.encode(answer))
+
+
+# Outcomes of a proposal that say nothing about the control state.
+NOT_APPLIED = frozenset((codes.Code.NOT_LEADER, codes.Code.MAY_HAVE_RUN))
+
+HANDLER_BY_ACTION = {
+    messages.Persist: ControlServer._hand_to_storage,
+    messages.SaveSnapshot: ControlServer._hand_to_storage,
+    messages.Apply: ControlServer._apply,
+    messages.Restore: ControlServer._restore,
+    messages.TakeSnapshot: ControlServer._take_snapshot,
+    messages.ProposalDone: ControlServer._proposal_done,
+    messages.ReadDone: ControlServer._read_done,
+    messages.RoleChanged: ControlServer._role_changed,
+    messages.ConfigurationChanged: ControlServer._configuration_changed,
+}
--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -17,6 +17,7 @@
 SILENCE_LIMIT_SECONDS = 1.0
 RECONNECT_PAUSE_SECONDS = 0.1
 MAX_QUEUED_FRAMES = 10_000
+CLOSE_TIMEOUT_SECONDS = 1.0
 
 
 class Server:
@@ -29,13 +30,22 @@
         handlers_by_kind: The handler of each message kind.
     """
 
-    __slots__ = ("handlers_by_kind", "_server", "_writers", "_tasks", "bytes_in", "bytes_out")
+    __slots__ = (
+        "handlers_by_kind",
+        "_server",
+        "_writers",
+        "_tasks",
+        "_serving",
+        "bytes_in",
+        "bytes_out",
+    )
 
     def __init__(self, handlers_by_kind: dict):
         self.handlers_by_kind = handlers_by_kind
         self._server = None
         self._writers = set()
         self._tasks = set()
+        self._serving = set()
         self.bytes_in = 0
         self.bytes_out = 0
 
@@ -46,11 +56,17 @@
     async def close(self):
         """Stops listening and closes all connections."""
         self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
         for writer in list(self._writers):
             writer.close()
+        # Tasks that are still waiting when the event loop ends are logged as errors.
+        if self._serving:
+            await asyncio.wait(self._serving, timeout=CLOSE_TIMEOUT_SECONDS)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        self._serving.add(asyncio.current_task())
         try:
             while True:
                 result = await frames.read_frame(reader)
@@ -80,6 +96,7 @@
                 task.add_done_callback(self._tasks.discard)
         finally:
             self._writers.discard(writer)
+            self._serving.discard(asyncio.current_task())
             writer.close()
 
     async def _finish(self, writer, envelope, outcome):
--- /dev/null
+++ b/chiveswitch/tools/control.py
@@ -0,0 +1,181 @@
+"""The control daemon: opens the data folder, runs one member and ends on SIGTERM."""
+
+import asyncio
+import logging
+import os
+import pathlib
+import signal
+import sys
+import uuid
+
+import expression
+import orjson
+
+from chiveswitch.core import bundles, codes, telemetry
+from chiveswitch.core import consensus_messages as messages
+from chiveswitch.core import settings as settings_module
+from chiveswitch.peers import control_server
+from chiveswitch.storage import data_folder, files
+from chiveswitch.tools import serving
+
+log = logging.getLogger("chiveswitch.control")
+
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+
+def parse_members(text: str) -> expression.Result:
+    """Returns Ok with the address by member id of `id=address,...`, or a list of failures."""
+    address_by_id = {}
+    errors = []
+    for part in settings_module.split_list(text):
+        member_id, separator, address = part.partition("=")
+        if not member_id or not separator:
+            errors.append(settings_module.setting_failure("first-members", f"{part!r}: no id"))
+            continue
+        if member_id in address_by_id or address in address_by_id.values():
+            errors.append(settings_module.setting_failure("first-members", f"{part!r} is repeated"))
+        errors += settings_module.address_error("first-members", address)
+        address_by_id[member_id] = address
+    return expression.Error(errors) if errors else expression.Ok(address_by_id)
+
+
+def check(settings) -> list:
+    """Returns every error of the settings that shows without opening the data folder."""
+    errors = settings_module.required_error("availability-zone", settings.availability_zone)
+    errors += settings_module.required_error("data-folder", settings.data_folder)
+    errors += settings_module.address_error("listen", settings.listen)
+    if settings.admin_listen:
+        errors += settings_module.address_error("admin-listen", settings.admin_listen)
+    members = parse_members(settings.first_members)
+    if members.is_error():
+        errors += members.error
+    if settings.first_members and settings.join:
+        errors.append(settings_module.setting_failure("join", "excludes --first-members"))
+    if settings.first_members and members.is_ok():
+        own = members.ok.get(settings.node_id)
+        if own is None:
+            message = "must name one of --first-members"
+            errors.append(settings_module.setting_failure("node-id", message))
+        elif own != settings.listen:
+            message = f"--first-members has {own} for {settings.node_id}"
+            errors.append(settings_module.setting_failure("listen", message))
+    operators = read_operators(settings.operators_file)
+    if operators.is_error():
+        errors.append(operators.error)
+    return errors
+
+
+def read_operators(path: str) -> expression.Result:
+    """Returns Ok with the list of the first operators, empty without a file, or a failure."""
+    if not path:
+        return expression.Ok([])
+    try:
+        operators = orjson.loads(pathlib.Path(path).read_bytes())
+    except (OSError, orjson.JSONDecodeError) as error:
+        return expression.Error(settings_module.setting_failure("operators-file", str(error)))
+    names = set(bundles.Operator.__slots__)
+    if not isinstance(operators, list) or not all(
+        isinstance(each, dict)
+        and set(each) == names
+        and all(isinstance(value, str) for value in each.values())
+        for each in operators
+    ):
+        message = f"is not a list of objects with the texts {sorted(names)}"
+        return expression.Error(settings_module.setting_failure("operators-file", message))
+    return expression.Ok(operators)
+
+
+def open_folder(settings) -> expression.Result:
+    """Opens the data folder; a new one only with the flags of a first start.
+
+    A member with a lost disk must not come back under its old id, since it has forgotten its vote
+    and its log. So --first-members is refused once the folder is in use, and has to be taken out of
+    the settings, so that it cannot apply to an empty folder later.
+    """
+    folder = settings.data_folder
+    is_new = not os.path.exists(os.path.join(folder, "id"))
+    starts = bool(settings.first_members or settings.join)
+    if is_new and not starts:
+        message = f"{folder} is new: give --join, or --first-members and --node-id for a new log"
+        return expression.Error(settings_module.setting_failure("data-folder", message))
+    if not is_new and settings.first_members:
+        message = f"{folder} is in use already: remove this flag"
+        return expression.Error(settings_module.setting_failure("first-members", message))
+    first_configuration = None
+    if settings.first_members:
+        voters = parse_members(settings.first_members).ok
+
+        def first_configuration(_node_id):
+            return messages.Configuration(voters)
+
+    opened = data_folder.open_folder(
+        files.Files(),
+        folder,
+        lambda: settings.node_id if settings.first_members else uuid.uuid4().hex,
+        first_configuration,
+    )
+    if opened.is_error():
+        return opened
+    if settings.node_id and opened.ok.node_id != settings.node_id:
+        message = f"{folder} belongs to {opened.ok.node_id}"
+        opened.ok.close()
+        return expression.Error(settings_module.setting_failure("node-id", message))
+    return opened
+
+
+async def serve(settings, folder, build_admin=None):
+    """Runs a member until SIGTERM or SIGINT.
+
+    Args:
+        settings: The command's settings.
+        folder: The open data folder, which is closed at the end.
+        build_admin: Function from a `control_server.ControlServer` to the ASGI application of the
+            administration API, which is served at `--admin-listen`; None for none.
+
+    Returns:
+        None after a signal, or the `codes.Failure` that ended the member.
+    """
+    instrument = telemetry.Telemetry(
+        "control", folder.node_id, settings.trace_file, settings.statsd
+    )
+    operators = read_operators(settings.operators_file).ok
+    server = control_server.ControlServer(settings.listen, folder, operators, telemetry=instrument)
+    admin = None
+    stopped = asyncio.get_running_loop().create_future()
+
+    def on_signal():
+        if not stopped.done():
+            stopped.set_result(None)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, on_signal)
+    try:
+        await server.start()
+        if settings.admin_listen and build_admin is not None:
+            host, _, port = settings.admin_listen.rpartition(":")
+            admin = await serving.start(build_admin(server), host, int(port))
+        log.info("control: %s listens on %s", folder.node_id, settings.listen)
+        await asyncio.wait([stopped, server.failed], return_when=asyncio.FIRST_COMPLETED)
+    except (OSError, RuntimeError) as error:
+        return codes.Failure(codes.Code.SETTING_INVALID, f"Cannot listen: {error}")
+    finally:
+        if admin is not None:
+            admin.force_exit = True
+            await serving.stop(admin)
+        await server.close()
+        instrument.close()
+    log.info("control: stopped")
+    return server.failed.result() if server.failed.done() else None
+
+
+def main(settings, build_admin=None):
+    """Opens the data folder and runs the daemon; exits with a numbered error if it cannot."""
+    opened = open_folder(settings)
+    failure = opened.error if opened.is_error() else None
+    if failure is None:
+        failure = asyncio.run(serve(settings, opened.ok, build_admin))
+    if failure is not None:
+        print(f"{int(failure.code)} {failure.code.name} {failure.message}", file=sys.stderr)
+        is_setting = failure.code == codes.Code.SETTING_INVALID
+        sys.exit(EXIT_SETTINGS if is_setting else EXIT_FAILED)
--- a/chiveswitch/tools/main.py
+++ b/chiveswitch/tools/main.py
@@ -45,9 +45,20 @@
     errors += settings_module.address_error("listen", settings.listen)
     errors += settings_module.address_error("peer-listen", settings.peer_listen)
     errors += settings_module.addresses_errors("peers", settings.peers)
+    errors += settings_module.addresses_errors("control", settings.control)
+    if bool(settings.control) == bool(settings.bundle_file):
+        message = "give either --control or --bundle-file"
+        errors.append(settings_module.setting_failure("control", message))
     start(settings, errors, gateway.main)
 
 
+def run_control(settings: "Control"):
+    """Starts the control daemon."""
+    from chiveswitch.tools import control
+
+    start(settings, control.check(settings), control.main)
+
+
 def run_engine(settings: "Engine"):
     """Starts the stand-in engine."""
     from chiveswitch.tools import standins
@@ -71,6 +82,7 @@
         str, option("peer-listen", "Address for other gateways, ip:port.", "127.0.0.1:8500")
     ]
     peers: Annotated[str, option("peers", "Peer addresses of some gateways, comma-separated.", "")]
+    control: Annotated[str, option("control", "Addresses of control, comma-separated.", "")]
     bundle_file: Annotated[str, option("bundle-file", "Bundle to use without control.", "")]
     policy: Annotated[str, option("policy", "Target choice.", "least_loaded")]
     detector: Annotated[str, option("detector", "Failure detector.", "adaptive")]
@@ -82,6 +94,34 @@
     log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
 
 
+@cappa.command(name="control", invoke=run_control, help="Run a control member on a VM with a disk.")
+@dataclasses.dataclass(slots=True)
+class Control:
+    """Settings of a control member."""
+
+    listen: Annotated[
+        str, option("listen", "Address for members and gateways, ip:port.", "127.0.0.1:8600")
+    ]
+    availability_zone: Annotated[str, option("availability-zone", "Zone of this VM.", "")]
+    data_folder: Annotated[str, option("data-folder", "Folder of log and snapshots.", "")]
+    node_id: Annotated[
+        str, option("node-id", "Id of this member; refused if the folder has another.", "")
+    ]
+    first_members: Annotated[
+        str, option("first-members", "First start of a new log only: id=ip:port,...", "")
+    ]
+    join: Annotated[
+        bool, option("join", "Use a new folder for a member that joins a running log.", False)
+    ]
+    operators_file: Annotated[
+        str, option("operators-file", "JSON list of the operators of a new log.", "")
+    ]
+    admin_listen: Annotated[str, option("admin-listen", "Address for operators, ip:port.", "")]
+    trace_file: Annotated[str, option("trace-file", "File for spans, one JSON line each.", "")]
+    statsd: Annotated[str, option("statsd", "Address of a statsd server, ip:port.", "")]
+    log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
+
+
 @cappa.command(name="engine", invoke=run_engine, help="Run a stand-in model engine.")
 @dataclasses.dataclass(slots=True)
 class Engine:
@@ -101,7 +141,7 @@
 class Chiveswitch:
     """The command line."""
 
-    command: cappa.Subcommands[Gateway | Engine]
+    command: cappa.Subcommands[Gateway | Control | Engine]
 
 
 def main():
