Connect gateways to control

Heartbeats confirm the bundle and hand out requests to adopt; durable requests are committed, found, claimed and finished through the control client.

--- a/chiveswitch/peers/control_client.py
+++ b/chiveswitch/peers/control_client.py
@@ -20,6 +20,9 @@
 CONNECT_POLL_SECONDS = 0.01
 PAUSE_SECONDS = 0.05
 
+# Answers that say that this copy of a command was not appended and never will be.
+NOT_APPENDED = frozenset((codes.Code.NOT_LEADER, codes.Code.QUEUE_FULL))
+
 
 class Beat:
     """What a gateway tells control each second.
@@ -168,7 +171,7 @@
                 self._turn_from(address)
                 await asyncio.sleep(PAUSE_SECONDS)
                 continue
-            sent = sent or result.ok.code != codes.Code.NOT_LEADER
+            sent = sent or result.ok.code not in NOT_APPENDED
             reason = f"{address}: {result.ok.message}"
             hint = result.ok.leader_address
             if hint and hint != address:
--- a/chiveswitch/peers/control_server.py
+++ b/chiveswitch/peers/control_server.py
@@ -155,6 +155,11 @@
             The result of the command. NOT_LEADER or QUEUE_FULL if it was not appended and never
             will be; MAY_HAVE_RUN if its fate is unknown.
         """
+        _, result = await self._propose(record)
+        return result
+
+    async def _propose(self, record):
+        """Returns (whether the command was applied, result)."""
         data = control_state.encode(record, int(time.time() * 1000))
         future = asyncio.get_running_loop().create_future()
         self._post(messages.Propose(future, data))
@@ -170,7 +175,8 @@
         """Adds or removes a member by a `consensus_messages` event whose proposal id is None."""
         event.proposal_id = asyncio.get_running_loop().create_future()
         self._post(event)
-        return await event.proposal_id
+        _, result = await event.proposal_id
+        return result
 
     def status(self) -> dict:
         """Returns what `chiveswitch status` shows of this member, which may lag behind."""
@@ -254,10 +260,11 @@
         if future.done():
             return
         result = action.result
-        if result.is_ok():
+        applied = result.is_ok()
+        if applied:
             # Membership changes are no commands of the state and have no result of their own.
             result = self._result_by_index.get(result.ok[0], result)
-        future.set_result(result)
+        future.set_result((applied, result))
 
     def _read_done(self, action):
         if not action.read_id.done():
@@ -353,12 +360,13 @@
         command = control_state.decode(decoded.ok.command)
         if command.is_error():
             return command
-        result = await self.propose(command.ok[0])
+        applied, result = await self._propose(command.ok[0])
+        # A refusal by the state is an answer; one by the log says nothing about earlier copies.
         code, message, answer = codes.Code.OK, "", b""
-        if result.is_error() and result.error.code in NOT_APPLIED:
-            code, message = result.error.code, result.error.message
-        else:
+        if applied:
             answer = control_state.encode_result(result)
+        else:
+            code, message = result.error.code, result.error.message
         return expression.Ok(
             strict.encode(
                 rpc.ProposeAnswer(
@@ -455,9 +463,6 @@
         return expression.Ok(strict.encode(answer))
 
 
-# Outcomes of a proposal that say nothing about the control state.
-NOT_APPLIED = frozenset((codes.Code.NOT_LEADER, codes.Code.MAY_HAVE_RUN))
-
 HANDLER_BY_ACTION = {
     messages.Persist: ControlServer._hand_to_storage,
     messages.SaveSnapshot: ControlServer._hand_to_storage,
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -13,9 +13,16 @@
 from chiveswitch.core import gateway_messages as messages
 from chiveswitch.core import generation_messages, telemetry
 from chiveswitch.core import settings as settings_module
-from chiveswitch.peers import directory_codec, frames, journal_codec, kinds, links
+from chiveswitch.peers import (
+    control_client,
+    directory_codec,
+    frames,
+    journal_codec,
+    kinds,
+    links,
+)
 from chiveswitch.targets import engine_client, streams
-from chiveswitch.tools import serving
+from chiveswitch.tools import gateway_control, serving
 
 log = logging.getLogger("chiveswitch.gateway")
 
@@ -65,6 +72,7 @@
         self._tasks = []
         self._server = None
         self._peer_server = None
+        self._feed = None
         self.cut_by_exit = 0
 
     # Backend of the HTTP application.
@@ -179,7 +187,12 @@
         self._inbox.put_nowait(events)
 
     async def run(self, bundle):
-        """Starts the servers and runs until drained or cancelled."""
+        """Starts the servers and runs until drained or cancelled.
+
+        Args:
+            bundle: Bundle to use without control, or None to ask control.
+        """
+        self._feed = self._new_feed(bundle)
         host, _, port = self.settings.listen.rpartition(":")
         peer_host, _, peer_port = self.settings.peer_listen.rpartition(":")
         self._peer_server = links.Server(
@@ -192,7 +205,7 @@
         self._server = await serving.start(callers_app.build_app(self), host, int(port))
         log.info("gateway: %s listens on %s", self.settings.gateway_id, self.settings.listen)
         loop = asyncio.get_running_loop()
-        for each in (self._tick(), self._pull(), self._confirm_static_bundle(bundle)):
+        for each in (self._tick(), self._pull(), self._feed.run()):
             self._tasks.append(asyncio.ensure_future(each))
         main = asyncio.ensure_future(self._main())
         drained = loop.create_future()
@@ -231,6 +244,7 @@
         """Ends all tasks and servers."""
         for task in self._tasks:
             task.cancel()
+        await self._feed.close()
         for link in self._link_by_address.values():
             await link.close()
         self._server.force_exit = True
@@ -335,7 +349,8 @@
     async def _pull(self):
         seeds = settings_module.split_list(self.settings.peers)
         while True:
-            chosen = self.core.directory.choose_peers(seeds, PULL_PEERS, self._rng)
+            known = seeds + self._feed.peer_addresses
+            chosen = self.core.directory.choose_peers(known, PULL_PEERS, self._rng)
             await asyncio.gather(*(self._pull_from(peer) for peer in chosen))
             self.core.directory.set_own(
                 "ready" if self.core.directory.own.state == "ready" else "draining",
@@ -371,10 +386,12 @@
 
     # Control.
 
-    async def _confirm_static_bundle(self, bundle):
-        while True:
-            self.post([messages.BundleConfirmed(1, bundle, clock.now())])
-            await asyncio.sleep(1.0)
+    def _new_feed(self, bundle):
+        if bundle is not None:
+            return gateway_control.StaticFeed(bundle, self.post)
+        addresses = settings_module.split_list(self.settings.control)
+        client = control_client.ControlClient(addresses)
+        return gateway_control.ControlFeed(client, self.core, self.post)
 
     # Actions.
 
@@ -441,18 +458,16 @@
             span.end()
 
     def _commit_request(self, action):
-        failure = codes.Failure(codes.Code.CONTROL_UNAVAILABLE, "There is no control.")
-        self.post([messages.RequestCommitted(action.key, failure)])
+        self._feed.commit_request(action)
 
     def _find_request(self, action):
-        self.post([messages.RequestFound(action.key, None, 0, None)])
+        self._feed.find_request(action)
 
     def _claim_generation(self, action):
-        failure = codes.Failure(codes.Code.CONTROL_UNAVAILABLE, "There is no control.")
-        self.post([messages.GenerationClaimed(action.key, 0, failure)])
+        self._feed.claim_generation(action)
 
     def _finish_request(self, action):
-        pass
+        self._feed.finish_request(action)
 
 
 def decode_journal(payload: bytes, holder: str) -> list:
@@ -483,11 +498,13 @@
 
 
 async def run(settings, bundle):
-    """Runs a gateway with a bundle that is not confirmed by control."""
+    """Runs a gateway; without control if a bundle is given."""
     await Gateway(settings).run(bundle)
 
 
 def main(settings):
     """Runs the daemon until it is drained."""
-    bundle = bundles.parse(pathlib.Path(settings.bundle_file).read_bytes()).ok
+    bundle = None
+    if settings.bundle_file:
+        bundle = bundles.parse(pathlib.Path(settings.bundle_file).read_bytes()).ok
     asyncio.run(run(settings, bundle))
