Let stand-in engines take orders, add the service daemon, and let both leave on SIGTERM

POST /v1/orders takes a fence, the wanted ready set and a role. Loads need the weight store, one triple at a time; an unload waits for the generations that run. On SIGTERM the engine and the service announce 'leaving', stay up for the 3 s in which gateways may still send, finish what runs and exit 0.

--- a/chiveswitch/targets/standin_engine.py
+++ b/chiveswitch/targets/standin_engine.py
@@ -21,6 +21,14 @@
 ORPHAN_SECONDS = 15.0
 MAX_KEPT_ATTEMPTS = 4096
 
+ROLES = ("mixed", "prefill")
+# Pause after a failed fetch from the weight store.
+FETCH_PAUSE_SECONDS = 0.2
+# Bounds on an order; a real one names a few triples.
+MAX_ORDER_BYTES = 64 * 1024
+MAX_ORDER_LOAD = 256
+MAX_FENCE = (1 << 63) - 1
+
 
 def next_token(seed: int, prompt: str, digest: str) -> str:
     """Returns the token that follows the prefix with the given digest."""
@@ -37,6 +45,8 @@
         prefill_tokens_per_second: Prompt and prefix tokens read per second.
         capacity: Largest batch.
         cached_prefixes: Number of prompt prefixes kept warm.
+        load_seconds: Time to load one (model, adapter, version) after its weights arrived.
+        honours_fencing: Whether an order below the highest fence seen is refused.
     """
 
     __slots__ = (
@@ -45,6 +55,8 @@
         "prefill_tokens_per_second",
         "capacity",
         "cached_prefixes",
+        "load_seconds",
+        "honours_fencing",
     )
 
     def __init__(
@@ -54,12 +66,58 @@
         prefill_tokens_per_second=20_000.0,
         capacity=64,
         cached_prefixes=64,
+        load_seconds=0.5,
+        honours_fencing=True,
     ):
         self.token_seconds = token_seconds
         self.batch_slowdown = batch_slowdown
         self.prefill_tokens_per_second = prefill_tokens_per_second
         self.capacity = capacity
         self.cached_prefixes = cached_prefixes
+        self.load_seconds = load_seconds
+        self.honours_fencing = honours_fencing
+
+
+class Order:
+    """An order: the wanted ready set and role under a fence.
+
+    Attributes:
+        fence: Tuple (term, index).
+        load: Tuple of (model, adapter, version) that shall be ready.
+        role: One of `ROLES`.
+    """
+
+    __slots__ = ("fence", "load", "role")
+
+    def __init__(self, fence, load, role):
+        self.fence = fence
+        self.load = load
+        self.role = role
+
+
+def parse_order(data: bytes):
+    """Returns the `Order` in a request body, or None if any part of it is invalid."""
+    if len(data) > MAX_ORDER_BYTES:
+        return None
+    try:
+        body = orjson.loads(data)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(body, dict) or set(body) != {"fence", "load", "role"}:
+        return None
+    fence, load = body["fence"], body["load"]
+    # The exact type also excludes booleans, which are integers in Python.
+    if not isinstance(fence, list) or [type(part) for part in fence] != [int, int]:
+        return None
+    if not all(0 <= part <= MAX_FENCE for part in fence) or body["role"] not in ROLES:
+        return None
+    if not isinstance(load, list) or len(load) > MAX_ORDER_LOAD:
+        return None
+    for triple in load:
+        if not isinstance(triple, list) or [type(part) for part in triple] != [str, str, str]:
+            return None
+    triples = tuple(dict.fromkeys(tuple(triple) for triple in load))
+    return Order(tuple(fence), triples, body["role"])
 
 
 class Attempt:
@@ -67,6 +125,7 @@
 
     __slots__ = (
         "attempt_id",
+        "model",
         "prompt",
         "seed",
         "max_tokens",
@@ -87,6 +146,7 @@
     def __init__(self, request: dict, now: float):
         prefix = request.get("prefix", [])
         self.attempt_id = request["attempt_id"]
+        self.model = (request["model"], request["adapter"], request["version"])
         self.prompt = request["prompt"]
         self.seed = request["seed"]
         self.max_tokens = request["max_tokens"]
@@ -116,14 +176,27 @@
     Attributes:
         attempts_by_id: Attempts that are queued, running or kept for readers.
         models: Ready models as (model, adapter, version).
+        loading: Models that are being loaded.
+        unloading: Models that get no new work and are unloaded once their generations ended.
+        role: One of `ROLES`.
+        fence: Highest fence seen; of an engine that ignores fencing, the last one.
+        loads: Number of loads begun since the start.
         tokens_generated: Tokens made since the start.
         prefill_tokens: Prompt and prefix tokens read since the start.
         silenced_before: Streams opened before this time send nothing more (fault injection).
     """
 
-    def __init__(self, settings: EngineSettings, models, now=clock.now):
+    def __init__(self, settings: EngineSettings, models, now=clock.now, fetch=None):
+        """Sets up the engine; `fetch` awaits the weights of a triple and returns a `Result`."""
         self.settings = settings
-        self.models = models
+        self.models = list(models)
+        self.loading = []
+        self.unloading = []
+        self.role = "mixed"
+        self.loads = 0
+        self._fetch = fetch
+        self._wanted = None
+        self._order_arrived = asyncio.Event()
         self.attempts_by_id = collections.OrderedDict()
         self.running = []
         self.queue = []
@@ -198,6 +271,7 @@
                 still_running.append(attempt)
             attempt.wake()
         self.running = still_running
+        self.unload_idle()
 
     async def run(self):
         """Steps until cancelled."""
@@ -248,6 +322,61 @@
             attempt.readers -= 1
             attempt.left_at = self._now()
 
+    def order(self, order: Order) -> bool:
+        """Takes an order. Returns False if its fence is lower than one seen before."""
+        if self.settings.honours_fencing and order.fence < self.fence:
+            return False
+        self.fence = order.fence
+        self.role = order.role
+        self._wanted = order.load
+        for triple in [triple for triple in self.models if triple not in order.load]:
+            self.models.remove(triple)
+            self.unloading.append(triple)
+        # A triple that still runs is wanted again: it needs no load.
+        for triple in [triple for triple in self.unloading if triple in order.load]:
+            self.unloading.remove(triple)
+            self.models.append(triple)
+        self.loading = [triple for triple in order.load if triple not in self.models]
+        self.unload_idle()
+        self._order_arrived.set()
+        return True
+
+    def running_models(self) -> list:
+        """Returns the models of the generations that run or wait."""
+        attempts = [attempt for attempt in self.running + self.queue if not attempt.cancelled]
+        return sorted({attempt.model for attempt in attempts})
+
+    def unload_idle(self):
+        """Unloads the unwanted models that have no generation left."""
+        if self.unloading:
+            running = self.running_models()
+            self.unloading = [triple for triple in self.unloading if triple in running]
+
+    async def follow_orders(self):
+        """Loads what the last order wants, one triple at a time, until cancelled."""
+        while True:
+            if not self.loading:
+                self._order_arrived.clear()
+                await self._order_arrived.wait()
+                continue
+            triple = self.loading[0]
+            self.loads += 1
+            loaded = await self._load(triple)
+            # A later order may have withdrawn the triple.
+            if loaded and triple in self.loading:
+                self.loading.remove(triple)
+                self.models.append(triple)
+
+    async def _load(self, triple) -> bool:
+        while triple in self.loading:
+            result = await self._fetch(triple) if self._fetch else None
+            if result is None or result.is_ok():
+                await asyncio.sleep(self.settings.load_seconds)
+                return True
+            log.warning("engine: weights of %s did not arrive: %s", triple, result.error.message)
+            await asyncio.sleep(FETCH_PAUSE_SECONDS)
+        return False
+
     def load(self) -> dict:
         """Returns the load that announcements report."""
         return {
@@ -283,11 +412,28 @@
         held = engine.cancel(request.path_params["attempt_id"])
         return responses.JSONResponse({"cancelled": True, "was_held": held})
 
+    async def orders(request):
+        order = parse_order(await request.body())
+        if order is None:
+            return responses.JSONResponse({"error": "the order is invalid"}, 400)
+        if not engine.order(order):
+            log.info("engine: refused an order: fence %s is below %s", order.fence, engine.fence)
+            body = {"error": "the fence is old", "fence": list(engine.fence)}
+            return responses.JSONResponse(body, 409)
+        log.info("engine: took an order with fence %s: %s", order.fence, order.load)
+        return responses.JSONResponse({"accepted": True, "fence": list(engine.fence)})
+
     async def status(_request):
         return responses.JSONResponse(
             {
                 "load": engine.load(),
                 "models": [list(model) for model in engine.models],
+                "loading": [list(model) for model in engine.loading],
+                "unloading": [list(model) for model in engine.unloading],
+                "running": [list(model) for model in engine.running_models()],
+                "role": engine.role,
+                "loads": engine.loads,
+                "honours_fencing": engine.settings.honours_fencing,
                 "tokens_generated": engine.tokens_generated,
                 "prefill_tokens": engine.prefill_tokens,
                 "fence": list(engine.fence),
@@ -307,6 +453,7 @@
             routing.Route("/v1/generations", generate, methods=["POST"]),
             routing.Route("/v1/generations/{attempt_id}", reattach, methods=["GET"]),
             routing.Route("/v1/generations/{attempt_id}", cancel, methods=["DELETE"]),
+            routing.Route("/v1/orders", orders, methods=["POST"]),
             routing.Route("/v1/status", status, methods=["GET"]),
             routing.Route("/standin/faults", faults, methods=["POST"]),
         ]
--- a/chiveswitch/tools/main.py
+++ b/chiveswitch/tools/main.py
@@ -56,9 +56,39 @@
     errors += settings_module.address_error("listen", settings.listen)
     errors += settings_module.addresses_errors("gateways", settings.gateways)
     errors += settings_module.range_error("token-seconds", settings.token_seconds, 0.0005, 10)
+    if settings.weight_store:
+        errors += settings_module.address_error("weight-store", settings.weight_store)
+    errors += settings_module.range_error(
+        "weight-store-rate", settings.weight_store_rate, 0.001, 10_000
+    )
+    if settings.honours_fencing and settings.ignores_fencing:
+        message = "contradicts --honours-fencing"
+        errors.append(settings_module.setting_failure("ignores-fencing", message))
     start(settings, errors, standins.run_engine_main)
 
 
+def run_service(settings: "Service"):
+    """Starts the stand-in plain service."""
+    from chiveswitch.tools import standins
+
+    errors = settings_module.required_error("target-id", settings.target_id)
+    errors += settings_module.required_error("services", settings.services)
+    errors += settings_module.address_error("listen", settings.listen)
+    errors += settings_module.addresses_errors("gateways", settings.gateways)
+    errors += settings_module.range_error("delay-seconds", settings.delay_seconds, 0, 600)
+    start(settings, errors, standins.run_service_main)
+
+
+def run_weight_store(settings: "WeightStore"):
+    """Starts the stand-in weight store."""
+    from chiveswitch.tools import standins
+
+    errors = settings_module.address_error("listen", settings.listen)
+    errors += settings_module.range_error("rate", settings.rate, 0.001, 100_000)
+    errors += settings_module.range_error("burst", settings.burst, 1, 100_000)
+    start(settings, errors, standins.run_weight_store_main)
+
+
 @cappa.command(name="gateway", invoke=run_gateway, help="Run the gateway of an entry VM.")
 @dataclasses.dataclass(slots=True)
 class Gateway:
@@ -93,6 +123,42 @@
     availability_zone: Annotated[str, option("availability-zone", "Zone of this VM.", "")]
     models: Annotated[str, option("models", "Ready models, model:adapter:version.", "model::1")]
     token_seconds: Annotated[float, option("token-seconds", "Seconds per token.", 0.03)]
+    weight_store: Annotated[str, option("weight-store", "Weight store's address, ip:port.", "")]
+    weight_store_rate: Annotated[
+        float, option("weight-store-rate", "Fetches per second of this engine.", 1.0)
+    ]
+    honours_fencing: Annotated[
+        bool, option("honours-fencing", "Refuse orders with an old fence (default).", False)
+    ]
+    ignores_fencing: Annotated[
+        bool, option("ignores-fencing", "Execute orders whatever their fence is.", False)
+    ]
+    log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
+
+
+@cappa.command(name="service", invoke=run_service, help="Run a stand-in plain service.")
+@dataclasses.dataclass(slots=True)
+class Service:
+    """Settings of the stand-in plain service."""
+
+    target_id: Annotated[str, option("target-id", "Name of this service's target.", "")]
+    listen: Annotated[str, option("listen", "Address, ip:port.", "127.0.0.1:9200")]
+    gateways: Annotated[str, option("gateways", "Gateway addresses, comma-separated.", "")]
+    availability_zone: Annotated[str, option("availability-zone", "Zone of this VM.", "")]
+    services: Annotated[str, option("services", "Service names, comma-separated.", "")]
+    delay_seconds: Annotated[float, option("delay-seconds", "Seconds that a call takes.", 0.01)]
+    ledger_file: Annotated[str, option("ledger-file", "File with one line for each run.", "")]
+    log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
+
+
+@cappa.command(name="weight-store", invoke=run_weight_store, help="Run a stand-in weight store.")
+@dataclasses.dataclass(slots=True)
+class WeightStore:
+    """Settings of the stand-in weight store."""
+
+    listen: Annotated[str, option("listen", "Address, ip:port.", "127.0.0.1:9300")]
+    rate: Annotated[float, option("rate", "Fetches per second.", 1.0)]
+    burst: Annotated[float, option("burst", "Fetches that may come at once.", 2.0)]
     log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
 
 
@@ -101,7 +167,7 @@
 class Chiveswitch:
     """The command line."""
 
-    command: cappa.Subcommands[Gateway | Engine]
+    command: cappa.Subcommands[Gateway | Engine | Service | WeightStore]
 
 
 def main():
--- a/chiveswitch/tools/standins.py
+++ b/chiveswitch/tools/standins.py
@@ -1,27 +1,88 @@
-"""Daemons of the stand-in engine and the stand-in plain service."""
+"""Daemons of the stand-ins: engine, plain service and weight store."""
 
 import asyncio
 import logging
+import signal
 
 from chiveswitch.core import settings as settings_module
-from chiveswitch.targets import announcer, standin_engine
+from chiveswitch.platform import weight_store
+from chiveswitch.targets import announcer, standin_engine, standin_service
 from chiveswitch.tools import serving
 
-log = logging.getLogger("chiveswitch.engine")
+log = logging.getLogger("chiveswitch.standin")
+
+# Gateways may send new work for up to 3 s after the first `leaving` announcement.
+LEAVING_SECONDS = 3.0
+IDLE_CHECK_SECONDS = 0.05
+
+
+def stop_event() -> asyncio.Event:
+    """Returns an event that SIGTERM and SIGINT set."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    return stopping
+
+
+async def serve_target(settings, app, describe, is_idle, background=()):
+    """Serves and announces a target until SIGTERM, then lets it leave.
+
+    Args:
+        settings: Settings with `target_id`, `listen` and `gateways`.
+        app: The target's HTTP application.
+        describe: Function that returns the announcement's changing fields.
+        is_idle: Function that returns whether nothing runs.
+        background: Coroutines that run as long as the target.
+    """
+    stopping = stop_event()
+    host, _, port = settings.listen.rpartition(":")
+    server = await serving.start(app, host, int(port))
+    log.info("standin: %s listens on %s", settings.target_id, settings.listen)
+    gateways = settings_module.split_list(settings.gateways)
+    tasks = [asyncio.ensure_future(each) for each in background]
+    announcing = announcer.Announcer(describe, gateways, offset=int(port)) if gateways else None
+    if announcing:
+        tasks.append(asyncio.ensure_future(announcing.run()))
+    waiting = asyncio.ensure_future(stopping.wait())
+    done, _ = await asyncio.wait(
+        [server.task, waiting, *tasks], return_when=asyncio.FIRST_COMPLETED
+    )
+    # A task that failed ends the daemon with its error instead of a target that half works.
+    for task in done:
+        task.result()
+    if announcing:
+        announcing.state = "leaving"
+        await announcing.announce()
+        await asyncio.sleep(LEAVING_SECONDS)
+    while True:
+        if is_idle():
+            break
+        await asyncio.sleep(IDLE_CHECK_SECONDS)
+    await serving.stop(server)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    log.info("standin: %s finished everything and ends", settings.target_id)
 
 
 async def run_engine(settings):
-    """Runs a stand-in engine until it is cancelled."""
+    """Runs a stand-in engine until SIGTERM."""
     models = [
         tuple((model + "::").split(":")[:3])
         for model in settings_module.split_list(settings.models)
     ]
+    fetch = None
+    if settings.weight_store:
+        limit = weight_store.RateLimit(settings.weight_store_rate, settings.weight_store_rate)
+        fetch = weight_store.Client(settings.weight_store, limit).fetch
     engine = standin_engine.Engine(
-        standin_engine.EngineSettings(token_seconds=settings.token_seconds), models
+        standin_engine.EngineSettings(
+            token_seconds=settings.token_seconds, honours_fencing=not settings.ignores_fencing
+        ),
+        models,
+        fetch=fetch or refuse_fetch,
     )
-    host, _, port = settings.listen.rpartition(":")
-    server = await serving.start(standin_engine.build_app(engine), host, int(port))
-    stepper = asyncio.ensure_future(engine.run())
 
     def describe():
         return {
@@ -30,20 +91,72 @@
             "availability_zone": settings.availability_zone,
             "address": settings.listen,
             "models": [list(model) for model in engine.models],
-            "role": "mixed",
+            "role": engine.role,
             "load": engine.load(),
             "warm": [],
-            "honours_fencing": True,
+            "honours_fencing": not settings.ignores_fencing,
             "services": [],
         }
 
-    announcing = announcer.Announcer(
-        describe, settings_module.split_list(settings.gateways), offset=int(port)
+    await serve_target(
+        settings,
+        standin_engine.build_app(engine),
+        describe,
+        lambda: not engine.running and not engine.queue,
+        [engine.run(), engine.follow_orders()],
+    )
+
+
+async def refuse_fetch(_triple):
+    """Fails, because an engine without a weight store cannot load anything."""
+    return weight_store.unavailable("the engine has no weight store")
+
+
+async def run_service(settings):
+    """Runs a stand-in plain service until SIGTERM."""
+    names = settings_module.split_list(settings.services)
+    service = standin_service.Service(names, settings.delay_seconds, settings.ledger_file)
+
+    def describe():
+        return {
+            "id": settings.target_id,
+            "kind": "service",
+            "availability_zone": settings.availability_zone,
+            "address": settings.listen,
+            "models": [],
+            "role": "",
+            "load": service.load(),
+            "warm": [],
+            "honours_fencing": False,
+            "services": names,
+        }
+
+    await serve_target(
+        settings, standin_service.build_app(service), describe, lambda: service.open_calls == 0
     )
-    log.info("engine: %s listens on %s", settings.target_id, settings.listen)
-    await asyncio.gather(server.task, stepper, announcing.run())
+
+
+async def run_weight_store(settings):
+    """Runs the stand-in weight store until SIGTERM."""
+    stopping = stop_event()
+    host, _, port = settings.listen.rpartition(":")
+    limit = weight_store.RateLimit(settings.rate, settings.burst)
+    server = await serving.start(weight_store.build_app(limit), host, int(port))
+    log.info("weight store: listens on %s", settings.listen)
+    await stopping.wait()
+    await serving.stop(server)
 
 
 def run_engine_main(settings):
     """Runs the stand-in engine's daemon."""
     asyncio.run(run_engine(settings))
+
+
+def run_service_main(settings):
+    """Runs the stand-in service's daemon."""
+    asyncio.run(run_service(settings))
+
+
+def run_weight_store_main(settings):
+    """Runs the stand-in weight store's daemon."""
+    asyncio.run(run_weight_store(settings))
