Plan orders as whole ready sets, after reading the engine's state back

Announcements don't show loads in progress, so a load could be ordered twice, and a report older than the order could end it. Reports now carry an age and, when read back, what is loading and running; an order is planned only on a state at most 2 s old. The budget is drained when leadership is gained and taken per triple, so a large order can't block the others for good. Former versions stay while gateways may still admit them or generations run on them. A model without any engine gets one of a model that has several.

--- a/chiveswitch/core/orders.py
+++ b/chiveswitch/core/orders.py
@@ -3,14 +3,29 @@
 The control leader runs one `Planner`. It asks the log for a fence per order, so that an engine that
 honours fences refuses an order of an earlier leader. Engines that ignore them get orders only while
 leadership is confirmed and after the predecessor's lease; their state is read back and repaired.
+An order names the whole wanted ready set, so that executing it again changes nothing. Before each
+order the engine's state is read, because announcements don't show what an engine is loading.
 """
 
+import math
+
 from chiveswitch.core import bundles, calls
 
 # An engine that is silent for less than this keeps its models in the count, so that a short
 # absence causes no load elsewhere. A new leader waits as long before it orders any load.
 ABSENCE_S = 10.0
 
+# Time that a report may take to get here: an announcement every 0.5 s, of which only the second has
+# a valid ticket, and two pulls. It is added to the absence, which the engine ends, not its report.
+REPORT_DELAY_S = 2.0
+
+# Greatest age of the state that an order is based on, and time between two questions for it.
+STATE_AGE_S = 2.0
+READ_BACK_S = 1.0
+
+# Two ages of the same report differ by rounding; a newer report is at least this much newer.
+SAME_REPORT_S = 0.001
+
 # Time after which an order without an answer is read back.
 ORDER_TIMEOUT_S = 5.0
 
@@ -18,9 +33,6 @@
 SILENT_S = 2.5
 FENCE_TIMEOUT_S = 1.0
 
-# Tokens of the load budget per loaded (model, adapter, version).
-LOAD_COST = 1.0
-
 
 class BundleInForce(calls.Message):
     """Event: a bundle came into force; `bundle` is a `bundles.Bundle`."""
@@ -31,11 +43,22 @@
 class EngineReport(calls.Message):
     """Event: an engine announced itself or answered a read-back.
 
-    `loaded` is a tuple of (model, adapter, version), `role` is `mixed` or `prefill`, `ready` is
-    False for an engine that is leaving.
+    `loaded`, `loading` and `running` are tuples of (model, adapter, version): ready for work, being
+    loaded, and with generations that run or wait. `loading` is None in an announcement, which does
+    not show it; `running` is then an upper bound. `role` is `mixed` or `prefill`, `ready` is False
+    for an engine that is leaving, `age` is an upper bound of the report's age in seconds.
     """
 
-    __slots__ = ("engine", "loaded", "role", "ready", "honours_fencing")
+    __slots__ = (
+        "engine",
+        "loaded",
+        "role",
+        "ready",
+        "honours_fencing",
+        "loading",
+        "running",
+        "age",
+    )
 
 
 class LeadershipGained(calls.Message):
@@ -83,8 +106,8 @@
 class SendOrder(calls.Message):
     """Action: send an order, only if the clock right before the first byte is below `before`.
 
-    `load` is a tuple of (model, adapter, version) to be loaded. `before` is None for an engine that
-    honours fences.
+    `load` is a tuple of (model, adapter, version): the whole wanted ready set. `before` is
+    None for an engine that honours fences.
     """
 
     __slots__ = ("engine", "fence", "load", "role", "before")
@@ -100,13 +123,22 @@
     """Token bucket that all loads from the weight store share.
 
     It starts empty, because the predecessor may just have spent the same tokens.
+
+    Attributes:
+        per_second: Loads per second in the long run.
+        burst: Loads that may come at once, at least 1.
     """
 
     __slots__ = ("per_second", "burst", "tokens", "at")
 
     def __init__(self, per_second: float, burst: float, now: float):
         self.per_second = per_second
-        self.burst = burst
+        self.burst = max(1.0, burst)
+        self.tokens = 0.0
+        self.at = now
+
+    def drain(self, now: float) -> None:
+        """Empties the budget: another leader may have spent tokens until now."""
         self.tokens = 0.0
         self.at = now
 
@@ -120,20 +152,76 @@
         return True
 
 
+class Order:
+    """An order under way.
+
+    Attributes:
+        load: The wanted ready set.
+        missing: The part of it that is to be loaded and was taken from the budget.
+        role: The wanted role.
+        bundle: The bundle that it follows.
+        fence: Its fence, or None until the log gave one.
+        asked_at: Time in seconds at which the fence was last asked for.
+        sent_at: Time in seconds at which it was sent, or None.
+        accepted: Whether the engine accepted it.
+    """
+
+    __slots__ = ("load", "missing", "role", "bundle", "fence", "asked_at", "sent_at", "accepted")
+
+    def __init__(self, load, missing, role, bundle, now):
+        self.load = load
+        self.missing = missing
+        self.role = role
+        self.bundle = bundle
+        self.fence = None
+        self.asked_at = now
+        self.sent_at = None
+        self.accepted = False
+
+
 class Engine:
-    """What the planner knows of one engine: its last report and the order under way."""
+    """What the planner knows of one engine.
 
-    __slots__ = ("report", "seen_at", "order", "fence", "asked_at", "sent_at", "highest")
+    Attributes:
+        report: The last `EngineReport`.
+        basis: Time in seconds at which the report surely did not exist yet.
+        seen_at: Time in seconds at which the report arrived.
+        loading: Triples being loaded, as the last read-back showed.
+        state_at: Basis of the last read-back.
+        read_at: Time in seconds at which the last read-back was asked for.
+        order: The `Order` under way, or None.
+        highest: Highest fence used for this engine.
+    """
+
+    __slots__ = (
+        "report",
+        "basis",
+        "seen_at",
+        "loading",
+        "state_at",
+        "read_at",
+        "order",
+        "highest",
+    )
 
     def __init__(self):
         self.report = None
+        self.basis = -math.inf
         self.seen_at = 0.0
+        self.loading = ()
+        self.state_at = -math.inf
+        self.read_at = -math.inf
         self.order = None
-        self.fence = None
-        self.asked_at = 0.0
-        self.sent_at = None
         self.highest = (0, 0)
 
+    def is_present(self, now: float) -> bool:
+        """Returns whether the engine was heard lately and is not leaving."""
+        return self.report.ready and now - self.basis < SILENT_S
+
+    def differs(self, load, role) -> bool:
+        """Returns whether the engine has another ready set or role."""
+        return set(self.report.loaded) != set(load) or self.report.role != role
+
 
 class Planner:
     """Decides the orders to engines.
@@ -141,6 +229,7 @@
     Attributes:
         budget: The `LoadBudget`.
         bundle: The `bundles.Bundle` in force, or None.
+        bundle_at: Time in seconds since which it is known.
         engines: Engine by id.
         leading_since: Time in seconds since which this process leads, or None.
     """
@@ -148,6 +237,7 @@
     __slots__ = (
         "budget",
         "bundle",
+        "bundle_at",
         "engines",
         "leading_since",
         "predecessor_until",
@@ -157,6 +247,7 @@
     def __init__(self, budget: LoadBudget):
         self.budget = budget
         self.bundle = None
+        self.bundle_at = 0.0
         self.engines = {}
         self.leading_since = None
         self.predecessor_until = 0.0
@@ -167,18 +258,24 @@
         kind = type(event)
         if kind is BundleInForce:
             self.bundle = event.bundle
+            self.bundle_at = now
         elif kind is EngineReport:
             self.take_report(event, now)
         elif kind is LeadershipGained:
             self.leading_since = now
             self.predecessor_until = event.predecessor_until
             self.confirmed_until = 0.0
+            self.budget.drain(now)
+            # What this process knew or ordered in an earlier term may have been changed since.
+            for engine in self.engines.values():
+                engine.order = None
+                engine.state_at = engine.read_at = -math.inf
         elif kind is LeadershipConfirmed:
             self.confirmed_until = event.until
         elif kind is LeadershipLost:
             self.leading_since = None
             for engine in self.engines.values():
-                engine.order = engine.fence = engine.sent_at = None
+                engine.order = None
         elif kind is FenceGranted:
             return self.take_fence(event)
         elif kind is OrderAnswered:
@@ -188,33 +285,54 @@
         return []
 
     def take_report(self, event, now) -> None:
-        """Keeps a report; one that shows the ordered state ends the order."""
+        """Keeps a report unless a newer one is known, and ends an order whose result it shows."""
         engine = self.engines.setdefault(event.engine, Engine())
+        basis = now - event.age
+        if basis <= engine.basis + SAME_REPORT_S:
+            return
         engine.report = event
+        engine.basis = basis
         engine.seen_at = now
-        if engine.sent_at is None:
+        if event.loading is not None:
+            engine.loading = event.loading
+            engine.state_at = basis
+        else:
+            engine.loading = tuple(each for each in engine.loading if each not in event.loaded)
+        order = engine.order
+        # A report from before the order shows nothing of it.
+        if order is None or order.sent_at is None or basis < order.sent_at:
+            return
+        if not engine.differs(order.load, order.role):
+            engine.order = None
+            return
+        if event.loading is None:
             return
-        load, role = engine.order
-        done = set(load) <= set(event.loaded) and role == event.role
-        # A report before the timeout may be older than the order.
-        if done or now >= engine.sent_at + ORDER_TIMEOUT_S:
-            engine.order = engine.fence = engine.sent_at = None
+        under_way = set(event.loaded) | set(event.loading)
+        if set(order.load) == under_way and order.role == event.role:
+            return
+        # Without an answer the order may still be on its way.
+        if order.accepted or now >= order.sent_at + ORDER_TIMEOUT_S:
+            engine.order = None
 
     def take_fence(self, event) -> list:
         """Keeps the fence of a waiting order; an older one than before is never used."""
         engine = self.engines.get(event.engine)
-        if engine is None or engine.order is None or event.fence <= engine.highest:
+        if engine is None or engine.order is None or engine.order.sent_at is not None:
             return []
-        engine.fence = engine.highest = event.fence
+        if event.fence > engine.highest:
+            engine.order.fence = engine.highest = event.fence
         return []
 
     def take_answer(self, event) -> list:
         """Reads an engine back after its answer; a refused order is planned anew."""
         engine = self.engines.get(event.engine)
-        if engine is None or engine.fence != event.fence:
+        if engine is None or engine.order is None or engine.order.fence != event.fence:
             return []
+        engine.order.accepted = event.accepted
         if not event.accepted:
-            engine.order = engine.fence = engine.sent_at = None
+            engine.order = None
+            # The state that the order was based on is outdated.
+            engine.state_at = -math.inf
         return [ReadBack(event.engine)]
 
     def plan(self, now: float) -> list:
@@ -224,29 +342,39 @@
         for engine_id in [
             engine_id
             for engine_id, engine in self.engines.items()
-            if now - engine.seen_at >= ABSENCE_S
+            if now - engine.seen_at >= ABSENCE_S + REPORT_DELAY_S
         ]:
             del self.engines[engine_id]
         actions = self.send_orders(now)
         if now - self.leading_since < ABSENCE_S:
             return actions
         desired = self.assign()
-        ready = self.count_ready()
-        # The sort puts engines for models without a ready engine first in line for the budget.
-        for engine_id in sorted(desired, key=lambda name: (ready[desired[name][0]] > 0, name)):
+        for engine_id in self.by_urgency(desired, now):
             engine = self.engines[engine_id]
             _, load, role = desired[engine_id]
-            missing = tuple(item for item in load if item not in engine.report.loaded)
-            if engine.order is not None or (not missing and role == engine.report.role):
-                continue
             # An absent engine may come back with its models.
-            if now - engine.seen_at >= SILENT_S:
+            if engine.order is not None or not engine.is_present(now):
                 continue
-            if missing and not self.budget.take(LOAD_COST * len(missing), now):
-                # Waits instead of letting a cheaper order overtake one that is more urgent.
-                break
-            engine.order = (missing, role)
-            engine.asked_at = now
+            kept = self.kept(engine_id, desired, now)
+            unwanted_loading = set(engine.loading) - set(load)
+            if not engine.differs((*load, *kept), role) and not unwanted_loading:
+                continue
+            if now - engine.state_at > STATE_AGE_S:
+                if now >= engine.read_at + READ_BACK_S:
+                    engine.read_at = now
+                    actions.append(ReadBack(engine_id))
+                continue
+            present = set(engine.report.loaded) | set(engine.loading)
+            missing = []
+            for triple in load:
+                if triple not in present and self.budget.take(1.0, now):
+                    missing.append(triple)
+            wanted = tuple(triple for triple in load if triple in present or triple in missing)
+            wanted += kept
+            # Nothing but waiting for the budget or for loads in progress may be left to do.
+            if present == set(wanted) and role == engine.report.role:
+                continue
+            engine.order = Order(wanted, tuple(missing), role, self.bundle, now)
             actions.append(RequestFence(engine_id))
         return actions
 
@@ -255,13 +383,23 @@
         actions = []
         confirm = False
         for engine_id, engine in self.engines.items():
-            if engine.sent_at is not None and now >= engine.sent_at + ORDER_TIMEOUT_S:
-                actions.append(ReadBack(engine_id))
+            order = engine.order
+            if order is None:
+                continue
+            if order.sent_at is not None:
+                late = now >= order.sent_at + ORDER_TIMEOUT_S
+                if late and now >= engine.read_at + READ_BACK_S:
+                    engine.read_at = now
+                    actions.append(ReadBack(engine_id))
+                continue
+            if self.is_outdated(engine, now):
+                engine.order = None
+                continue
             # The command for the fence may have been lost.
-            if engine.order and not engine.fence and now >= engine.asked_at + FENCE_TIMEOUT_S:
-                engine.asked_at = now
-                actions.append(RequestFence(engine_id))
-            if engine.fence is None or engine.sent_at is not None:
+            if order.fence is None:
+                if now >= order.asked_at + FENCE_TIMEOUT_S:
+                    order.asked_at = now
+                    actions.append(RequestFence(engine_id))
                 continue
             before = None
             if not engine.report.honours_fencing:
@@ -271,43 +409,97 @@
                     confirm = True
                     continue
                 before = self.confirmed_until
-            engine.sent_at = now
-            actions.append(SendOrder(engine_id, engine.fence, *engine.order, before))
+            order.sent_at = now
+            actions.append(SendOrder(engine_id, order.fence, order.load, order.role, before))
         if confirm:
             actions.append(ConfirmLeadership())
         return actions
 
-    def count_ready(self) -> dict:
-        """Returns the number of engines by model that have one of its versions."""
-        ready = {model.name: 0 for model in self.bundle.models}
-        for engine in self.engines.values():
-            if not engine.report.ready:
+    def is_outdated(self, engine, now) -> bool:
+        """Returns whether an unsent order no longer fits the bundle or the engine's state."""
+        order = engine.order
+        if order.bundle is not self.bundle or not engine.is_present(now):
+            return True
+        # The engine lost models since, so that the order would load more than the budget gave.
+        present = set(engine.report.loaded) | set(engine.loading)
+        return bool(set(order.load) - present - set(order.missing))
+
+    def kept(self, engine_id, desired, now) -> tuple:
+        """Returns the loaded triples that an engine must keep besides its desired ones."""
+        engine = self.engines[engine_id]
+        model, load, _ = desired[engine_id]
+        incomplete = not set(load) <= set(engine.report.loaded)
+        wanted_by_model = {name: triples for name, triples, _ in desired.values()}
+        kept = []
+        for triple in engine.report.loaded:
+            if triple in load:
                 continue
-            for name in {item[0] for item in engine.report.loaded}:
-                if name in ready:
-                    ready[name] += 1
-        return ready
+            if triple in wanted_by_model.get(triple[0], ()):
+                # Running generations end there anyway; new ones need another engine.
+                needed = not any(
+                    other_id != engine_id
+                    and desired[other_id][0] == triple[0]
+                    and self.engines[other_id].is_present(now)
+                    and triple in self.engines[other_id].report.loaded
+                    for other_id in desired
+                )
+            else:
+                # Gateways admit by the former bundle for a while, and a generation that is pinned
+                # to a former version can only be resumed where that version is ready.
+                needed = (
+                    now < self.bundle_at + ABSENCE_S
+                    or (incomplete and triple[0] == model)
+                    or any(triple in other.report.running for other in self.engines.values())
+                )
+            if needed:
+                kept.append(triple)
+        return tuple(kept)
+
+    def by_urgency(self, desired, now) -> list:
+        """Returns the engine ids of `desired`; those of models with the least cover come first."""
+        cover = {}
+        waiting = []
+        for engine_id in sorted(desired):
+            engine = self.engines[engine_id]
+            name, load, _ = desired[engine_id]
+            under_way = set(engine.report.loaded) | set(engine.loading)
+            if engine.order is not None:
+                under_way |= set(engine.order.missing)
+            # An absent engine serves nothing, even though its models are not loaded elsewhere.
+            if engine.is_present(now) and under_way & set(load):
+                cover[name] = cover.get(name, 0) + 1
+            if not set(load) <= set(engine.report.loaded):
+                waiting.append(engine_id)
+        rank_by_id = {}
+        for engine_id in waiting:
+            name = desired[engine_id][0]
+            rank_by_id[engine_id] = cover.get(name, 0)
+            # The second engine of a model comes after the first one of every other model.
+            cover[name] = cover.get(name, 0) + 1
+        return sorted(desired, key=lambda name: (rank_by_id.get(name, math.inf), name))
+
+    def held_models(self, engine) -> list:
+        """Returns the names of models that an engine has, loads or is ordered to load."""
+        held = [item[0] for item in engine.order.missing] if engine.order is not None else []
+        held += [item[0] for item in engine.loading]
+        held += [item[0] for item in engine.report.loaded]
+        return held
 
     def assign(self) -> dict:
         """Returns (model, load, role) by engine id; an engine keeps a model that it has."""
         wanted = {model.name: model_load(self.bundle, model) for model in self.bundle.models}
+        model_by_name = {model.name: model for model in self.bundle.models}
         names_by_model = {model.name: [] for model in self.bundle.models}
         free = []
         for engine_id in sorted(self.engines):
-            report = self.engines[engine_id].report
-            if not report.ready:
+            engine = self.engines[engine_id]
+            if not engine.report.ready:
                 continue
-            held = [item[0] for item in report.loaded if item[0] in names_by_model]
-            order = self.engines[engine_id].order
-            if order is not None and order[0]:
-                held.insert(0, order[0][0][0])
-            room = [
-                model.name
-                for model in self.bundle.models
-                if model.name in held and len(names_by_model[model.name]) < model.engines
-            ]
-            if room:
-                names_by_model[room[0]].append(engine_id)
+            for name in self.held_models(engine):
+                model = model_by_name.get(name)
+                if model is not None and len(names_by_model[name]) < model.engines:
+                    names_by_model[name].append(engine_id)
+                    break
             else:
                 free.append(engine_id)
         while free:
@@ -320,13 +512,35 @@
                 break
             neediest = min(short, key=lambda model: len(names_by_model[model.name]))
             names_by_model[neediest.name].append(free.pop(0))
+        self.share_engines(names_by_model)
         desired = {}
         for model in self.bundle.models:
-            for position, engine_id in enumerate(names_by_model[model.name]):
+            # Engines that have the role keep it, so that a new engine changes no other one's role.
+            engine_ids = sorted(
+                names_by_model[model.name],
+                key=lambda name: (self.engines[name].report.role != "prefill", name),
+            )
+            for position, engine_id in enumerate(engine_ids):
                 role = "prefill" if position < model.prefill_engines else "mixed"
                 desired[engine_id] = (model.name, wanted[model.name], role)
         return desired
 
+    def share_engines(self, names_by_model) -> None:
+        """Moves engines to models that have none from models that have several."""
+        for model in self.bundle.models:
+            if model.engines == 0 or names_by_model[model.name]:
+                continue
+            donor = max(names_by_model, key=lambda name: len(names_by_model[name]))
+            if len(names_by_model[donor]) < 2:
+                return
+            # One that already has the model needs no load.
+            moved = max(
+                names_by_model[donor],
+                key=lambda name: (model.name in self.held_models(self.engines[name]), name),
+            )
+            names_by_model[donor].remove(moved)
+            names_by_model[model.name].append(moved)
+
 
 def model_load(bundle: bundles.Bundle, model: bundles.Model) -> tuple:
     """Returns the (model, adapter, version) triples that the services of a model name."""
