--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -221,6 +221,7 @@
             bundle: Bundle to use without control, or None to ask control.
         """
         self._feed = self._new_feed(bundle)
+        self._calls.control = self._feed.client
         host, _, port = self.settings.listen.rpartition(":")
         peer_host, _, peer_port = self.settings.peer_listen.rpartition(":")
         self._peer_server = links.Server(
--- a/chiveswitch/tools/gateway_control.py
+++ b/chiveswitch/tools/gateway_control.py
@@ -252,10 +252,12 @@
     """Confirms one bundle without control, for tests; durable requests are refused.
 
     Attributes:
+        client: None, so that unrepeatable calls are refused.
         peer_addresses: Always empty.
     """
 
     def __init__(self, bundle, post):
+        self.client = None
         self.peer_addresses = []
         self._bundle = bundle
         self._post = post
