--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -155,9 +155,7 @@
         self.telemetry.timing("call", clock.now() - now)
         if response.code is not codes.Code.OK:
             self.telemetry.count(f"refused.{response.code.name}")
-            return callers_app.error_response(
-                response.code, response.message, is_first_send or not key
-            )
+            return callers_app.error_response(response.code, response.message)
         return callers_app.raw_response(response.body, response.status)
 
     def status(self) -> dict:
