A new gateway waits to know other gateways before it admits work

Ruled out: the takeover, which answered truthfully that no candidate holds the request. Before: holders as known at that moment; now admission is refused with VIEW_INCOMPLETE for at most 5 s until three gateways are known.

--- a/chiveswitch/core/gateway.py
+++ b/chiveswitch/core/gateway.py
@@ -36,6 +36,10 @@
 # Up to this number of gateways a lookup asks all of them.
 SMALL_SYSTEM = 16
 DRAIN_ACCEPT_S = 12.5
+# For this long after its start a gateway waits to know enough others to hold its journals. Later
+# it works with those that are there, since the others may be dead.
+START_GRACE_S = 5.0
+START_GATEWAYS = 3
 # A draining gateway waits at most this long for other gateways to replace it as a holder.
 DRAIN_JOURNALS_S = 5.0
 PRIORITY_BY_NAME = {"lookup": 0, "interactive": 1, "batch": 2}
@@ -53,6 +57,7 @@
         copies: Copies of each journal, or 0 for the service's setting; 1 is a baseline.
         restart: Baseline: failed generations start again instead of continuing.
         max_open: Open generations at most, which bounds memory.
+        peers: Number of gateways that the settings name, the own one included.
         store: `journal.StoreSettings`.
         replication: `replication.Settings`.
         admission: `admission.AdmissionSettings`.
@@ -67,6 +72,7 @@
         "copies",
         "restart",
         "max_open",
+        "peers",
         "store",
         "replication",
         "admission",
@@ -82,6 +88,7 @@
         copies=0,
         restart=False,
         max_open=5000,
+        peers=0,
     ):
         self.lease_s = lease_s
         self.suspect_s = suspect_s
@@ -90,6 +97,7 @@
         self.copies = copies
         self.restart = restart
         self.max_open = max_open
+        self.peers = peers
         self.store = journal.StoreSettings()
         self.replication = replication.Settings()
         self.admission = admission.AdmissionSettings()
@@ -164,6 +172,7 @@
         self.bundle = None
         self._rng = rng
         self._confirmed_at = -1e9
+        self._started_at = now
         self._service_by_name = {}
         self._account_by_digest = {}
         self._waiting_by_key = {}
@@ -214,6 +223,13 @@
             return codes.Failure(
                 codes.Code.BUNDLE_STALE, "This gateway cannot confirm its bundle at control."
             )
+        if now < self._started_at + START_GRACE_S:
+            known = sum(entry.state == "ready" for entry in self.directory.live_gateways(now))
+            if known < min(START_GATEWAYS, self.settings.peers):
+                return codes.Failure(
+                    codes.Code.VIEW_INCOMPLETE,
+                    "This gateway has started and does not yet know enough other gateways.",
+                )
         return None
 
     def permitted(self, account: str, service_name: str, kind: str):
--- /dev/null
+++ b/chiveswitch/core/gateway_test.py
@@ -0,0 +1,45 @@
+"""Tests of a single gateway's decisions; systems of several are in `features`."""
+
+import random
+
+from chiveswitch.core import bundles, codes, directory, gateway
+from chiveswitch.core import gateway_messages as messages
+from chiveswitch.tools import sample
+
+
+def new_core(peers):
+    description = directory.Description("g1", "gateway", "zone-a", "127.0.0.1:1", 1)
+    settings = gateway.GatewaySettings(peers=peers)
+    core = gateway.GatewayCore(settings, description, random.Random(1), 0.0)
+    bundle = bundles.parse(sample.sample_bundle()).ok
+    core.handle(messages.BundleConfirmed(1, bundle, 0.0), 0.0)
+    return core
+
+
+def test_new_gateway_admits_nothing_before_it_knows_holders():
+    # Guards against a journal of one copy: a gateway killed right after its start lost answers.
+    core = new_core(peers=4)
+    assert core.refusal(1.0).code is codes.Code.VIEW_INCOMPLETE
+    core.handle(messages.BundleConfirmed(1, None, 5.0), 5.0)
+    assert core.refusal(5.1) is None
+
+
+def test_single_gateway_admits_at_once():
+    assert new_core(peers=1).refusal(0.1) is None
+
+
+def test_bundle_that_cannot_be_confirmed_stops_admission():
+    # Guards against work under a bundle that another one has replaced.
+    core = new_core(peers=1)
+    assert core.refusal(3.9) is None
+    assert core.refusal(4.0).code is codes.Code.BUNDLE_STALE
+
+
+def test_older_serial_is_never_applied():
+    core = new_core(peers=1)
+    second = bundles.parse(sample.sample_bundle(version=2)).ok
+    core.handle(messages.BundleConfirmed(2, second, 1.0), 1.0)
+    core.handle(messages.BundleConfirmed(1, bundles.parse(sample.sample_bundle()).ok, 9.0), 9.0)
+    assert core.serial == 2
+    assert core.bundle.version == 2
+    assert core.refusal(9.1).code is codes.Code.BUNDLE_STALE
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -62,6 +62,7 @@
             detector=settings.detector,
             copies=settings.copies,
             restart=settings.restart,
+            peers=len(settings_module.split_list(settings.peers)),
         )
         self.core = gateway.GatewayCore(core_settings, description, self._rng, clock.now())
         self._inbox = asyncio.Queue()
