Move from engines that send heartbeats but no tokens; add the demo

Cause: in the embedded demo a killed engine's server accepted one more connection and sent heartbeats for good, so that the stream stood still: heartbeats counted as life after the prefill too. A hung engine behind a live HTTP server does the same. Before: no bound; now 1.2 s without a token after the start event moves the attempt.

--- a/chiveswitch/core/generation.py
+++ b/chiveswitch/core/generation.py
@@ -20,6 +20,9 @@
 REATTACH_WAIT_S = 0.3
 # An engine that closes each new connection at once must not hold a stream for good.
 REATTACH_TRIES = 2
+# An engine that only sends heartbeats after its prefill makes no progress. A step takes tens of
+# milliseconds, and the stream has to go on within 2 s, the new attempt's prefill included.
+PROGRESS_LIMIT_S = 1.2
 CANCEL_RETRY_S = 0.5
 CHOICE_RETRY_S = 0.1
 # A tick this late means that this process was stalled, so that events may wait unread.
@@ -198,6 +201,7 @@
         confirmed: Whether the start event confirmed the prefix.
         steady: False until the first token after a start, a reattachment or a hedge.
         last_event: Time of the last event, or of the start.
+        progress_at: Time of the last token, or of the confirmation.
         link: Number of the latest connection.
         reattached_at: Time of an unanswered reattachment, or None.
     """
@@ -209,6 +213,7 @@
         "confirmed",
         "steady",
         "last_event",
+        "progress_at",
         "link",
         "reattached_at",
         "_reattaches",
@@ -226,6 +231,7 @@
         self.confirmed = False
         self.steady = False
         self.last_event = now
+        self.progress_at = now
         self.link = 0
         self.reattached_at = None
         self._reattaches = 0
@@ -272,8 +278,9 @@
     """State machine of one request at its owner.
 
     Metrics in `Count`: tokens_generated, tokens_delivered, prefill_repeated (tokens), moves_silent,
-    moves_false, hedges, restarts, resumptions, resume_latency_s (sum of seconds), faults (attempts
-    ended for wrong offsets, tokens or ends), journal_errors.
+    moves_false, stalls (moves from engines that only send heartbeats), hedges, restarts,
+    resumptions, resume_latency_s (sum of seconds), faults (attempts ended for wrong offsets, tokens
+    or ends), journal_errors.
 
     Attributes:
         header: The `Header`.
@@ -475,6 +482,7 @@
             return
         attempt._intervals.observe(now - attempt.last_event)
         attempt.last_event = now
+        attempt.progress_at = now
         if not attempt.steady:
             self._settle(attempt, now)
             self._arm(now)
@@ -634,6 +642,7 @@
         self._observe(attempt, now)
         if attempt.reattached_at is not None:
             attempt.reattached_at = None
+            attempt.progress_at = now
             if attempt.confirmed:
                 attempt._cycle.step("recover")
                 self._resume_cycle()
@@ -686,6 +695,10 @@
         elif now >= attempt.last_event + attempt._intervals.limit():
             self._reattach_or_move(attempt, now, silent=True)
             attempt = self._current
+        elif attempt.confirmed and now >= attempt.progress_at + PROGRESS_LIMIT_S:
+            self._count("stalls", 1)
+            self._move(now, silent=True)
+            return
         if attempt is not None and self._may_hedge(attempt):
             if now >= attempt.last_event + attempt._intervals.hedge_after():
                 self._start_hedge(attempt, now)
@@ -876,7 +889,7 @@
             if not self._confirms(event, current):
                 self._prefix_refused(now)
                 return
-            self._confirm(current)
+            self._confirm(current, now)
             self._heard(current, now)
             return
         if hedge is not None and event.attempt == hedge.number:
@@ -885,7 +898,7 @@
                 self._drop_hedge(now)
                 return
             self._observe(hedge, now)
-            self._confirm(hedge)
+            self._confirm(hedge, now)
             self._interrupt(current)
             self._supersede(current, now, silent=True)
             self._excluded.add(current.target)
@@ -904,10 +917,11 @@
             return False
         return event.prefix_digest == digests.of_tokens(self._tokens[:length])
 
-    def _confirm(self, attempt):
+    def _confirm(self, attempt, now):
         if attempt.confirmed:
             return
         attempt.confirmed = True
+        attempt.progress_at = now
         attempt.reattached_at = None
         self._may_have_run = True
         attempt._cycle.step("confirm")
@@ -1242,6 +1256,7 @@
             if attempt.reattached_at is not None:
                 attempt.reattached_at = now
             attempt.last_event = now
+            attempt.progress_at = now
             attempt._excused_at = now
 
     def _arm(self, now):
@@ -1275,6 +1290,8 @@
                 times.append(attempt.reattached_at + REATTACH_WAIT_S)
             else:
                 times.append(attempt.last_event + attempt._intervals.limit())
+                if attempt.confirmed:
+                    times.append(attempt.progress_at + PROGRESS_LIMIT_S)
             if self._may_hedge(attempt):
                 times.append(attempt.last_event + attempt._intervals.hedge_after())
         return min(times, default=None)
--- a/chiveswitch/core/generation_test.py
+++ b/chiveswitch/core/generation_test.py
@@ -14,8 +14,10 @@
 
 LENGTH = 40
 ENGINES = [f"e{number}" for number in range(6)]
-FAULTS = """die die_silently pause silent close refuse_prefix repeat skip reorder wrong early_end
+FAULTS = (
+    """die die_silently pause silent stall close refuse_prefix repeat skip reorder wrong early_end
 late_end ignore_cancel http not_run connection_refused""".split()
+)
 
 
 def engine_token(seed, prompt, known):
@@ -305,6 +307,9 @@
             self.paused_until[target] = self.now + self.rng.uniform(0.2, 3.0)
         elif fault == "silent":
             attempt.fault = "silent_now"
+        elif fault == "stall":
+            # Makes no more tokens, but its heartbeats go on.
+            return True
         elif fault == "close":
             self.fail(number, link, messages.Kind.CLOSED, machine)
             # A late failure of the closed connection, after the reattachment.
--- /dev/null
+++ b/chiveswitch/tools/demo.py
@@ -0,0 +1,132 @@
+"""The demo: a whole system in one process shows a resumed generation, a resend and a roll."""
+
+import asyncio
+import random
+import tempfile
+
+from chiveswitch.callers import client
+from chiveswitch.core import clock, digests
+from chiveswitch.peers import control_client
+from chiveswitch.targets import standin_engine
+from chiveswitch.tools import embedded, sample
+
+TOKENS = 150
+KILL_AT = 50
+START_SECONDS = 20.0
+
+
+def show(text: str):
+    """Prints one line of the demo."""
+    print(text, flush=True)
+
+
+def expected_tokens(seed: int, prompt: str, count: int) -> list:
+    """Returns the tokens that an undisturbed stand-in engine makes."""
+    digest = digests.PrefixDigest()
+    tokens = []
+    for _ in range(count):
+        tokens.append(standin_engine.next_token(seed, prompt, digest.hexdigest()))
+        digest.add(tokens[-1:])
+    return tokens
+
+
+async def wait_until(condition, seconds: float):
+    """Waits until `condition()` is true. Raises TimeoutError after `seconds`."""
+    deadline = clock.now() + seconds
+    while not condition():
+        if clock.now() > deadline:
+            raise TimeoutError
+        await asyncio.sleep(0.05)
+
+
+async def show_generation(caller, engines) -> bool:
+    """Streams a generation and kills its engine on the way."""
+    show(f"1. A report of {TOKENS} tokens; its engine is killed at token {KILL_AT}.")
+    killed = []
+
+    def on_tokens(answer):
+        if killed or len(answer.tokens) < KILL_AT:
+            return
+        busy = next(engine for engine in engines if engine.engine.running)
+        killed.append(busy.name)
+        show(f"   {len(answer.tokens)} tokens are here; killing engine {busy.name}")
+        asyncio.ensure_future(busy.kill())
+
+    answer = await caller.generate("report", "survey of the ridge", TOKENS, on_tokens=on_tokens)
+    times = [at for at, _ in answer.token_times]
+    longest = max(after - before for before, after in zip(times, times[1:], strict=False))
+    whole = answer.complete and answer.tokens == expected_tokens(
+        answer.seed, "survey of the ridge", TOKENS
+    )
+    show(f"   complete: {answer.complete}; each token once and in order: {whole}")
+    show(f"   longest gap between tokens: {longest:.2f} s")
+    return whole and bool(killed)
+
+
+async def show_resend(caller, service) -> bool:
+    """Makes an unrepeatable call and sends it again."""
+    show("2. An unrepeatable call, sent again under the same key.")
+    status, first = await caller.call("dispatch", {"batch": 12}, key="batch-12")
+    show(f"   first:  {status} {first}")
+    status, second = await caller.call("dispatch", {"batch": 12}, key="batch-12")
+    show(f"   resend: {status} {second}")
+    show(f"   runs at the service: {len(service.service.runs)}")
+    return first == second and len(service.service.runs) == 1
+
+
+async def show_roll(control, gateways) -> bool:
+    """Rolls the next version of the bundle."""
+    show("3. The next version of the bundle is written, approved and rolled.")
+    began = clock.now()
+    result = await embedded.roll_sample(control, 2)
+    if result.is_error():
+        show(f"   failed: {result.error}")
+        return False
+    await wait_until(lambda: all(gateway.core.serial == 2 for gateway, _ in gateways), 6.0)
+    show(f"   serial 2 is in force on all gateways after {clock.now() - began:.2f} s")
+    return True
+
+
+async def run() -> bool:
+    """Runs the demo. Returns whether every part went as it should."""
+    with tempfile.TemporaryDirectory(prefix="chiveswitch-demo-") as folder:
+        members = await embedded.start_control(folder)
+        addresses = [member.address for member in members]
+        control = control_client.ControlClient(addresses)
+        await embedded.roll_sample(control, 1)
+        gateways = embedded.start_gateways(embedded.build_gateways(4, ",".join(addresses)))
+        callers = [gateway.settings.listen for gateway, _ in gateways]
+        engines = [
+            embedded.EmbeddedEngine(f"e{number}", sample.ZONES[number], 0.02) for number in range(3)
+        ]
+        service = embedded.EmbeddedService("s0", sample.ZONES[3], ["stock", "dispatch"])
+        for target in (*engines, service):
+            await target.start(callers)
+        show("Starting 3 control members, 4 gateways, 3 engines and 1 service in one process.")
+        await wait_until(
+            lambda: all(
+                gateway.core.refusal(clock.now()) is None
+                and len(gateway.core.directory.usable_targets(clock.now())) == 4
+                for gateway, _ in gateways
+            ),
+            START_SECONDS,
+        )
+        field = client.Client(client.CallerSettings(callers, "field-key"), random.Random(1))
+        desk = client.Client(client.CallerSettings(callers, "desk-key"), random.Random(2))
+        passed = await show_generation(field, engines)
+        passed = await show_resend(desk, service) and passed
+        passed = await show_roll(control, gateways) and passed
+        for _, task in gateways:
+            task.cancel()
+        await asyncio.gather(*(task for _, task in gateways), return_exceptions=True)
+        await control.close()
+        for member in members:
+            await member.close()
+    show("The demo passed." if passed else "The demo FAILED.")
+    return passed
+
+
+def main(settings):
+    """Runs the demo; exits with 1 if a part failed."""
+    if not asyncio.run(run()):
+        raise SystemExit(1)
--- a/chiveswitch/tools/embedded.py
+++ b/chiveswitch/tools/embedded.py
@@ -2,7 +2,15 @@
 
 import asyncio
 import dataclasses
+import hashlib
+import os
 
+import orjson
+
+from chiveswitch.core import bundles, clock, codes, control_state
+from chiveswitch.core import consensus_messages as consensus
+from chiveswitch.peers import control_client, control_server
+from chiveswitch.storage import data_folder, files
 from chiveswitch.targets import announcer, standin_engine, standin_service
 from chiveswitch.tools import gateway as gateway_daemon
 from chiveswitch.tools import processes, sample, serving
@@ -146,3 +154,63 @@
         gateway = gateway_daemon.Gateway(settings)
         started.append((gateway, asyncio.ensure_future(gateway.run(bundle))))
     return started
+
+
+async def start_control(folder: str, count: int = 3) -> list:
+    """Starts control members with data folders below `folder`.
+
+    Returns:
+        The running `control_server.ControlServer` objects.
+    Raises:
+        RuntimeError: A data folder cannot be opened.
+    """
+    addresses = [f"127.0.0.1:{port}" for port in processes.free_ports(count)]
+    voters = {f"c{number}": address for number, address in enumerate(addresses)}
+    servers = []
+    for name, address in voters.items():
+        opened = data_folder.open_folder(
+            files.Files(),
+            os.path.join(folder, name),
+            lambda name=name: name,
+            lambda node_id: consensus.Configuration(voters),
+        )
+        if opened.is_error():
+            raise RuntimeError(opened.error.message)
+        server = control_server.ControlServer(address, opened.ok, sample.sample_operators())
+        await server.start()
+        servers.append(server)
+    return servers
+
+
+async def roll_sample(client: control_client.ControlClient, version: int):
+    """Writes, approves and rolls a version of the sample bundle.
+
+    Returns:
+        Ok with the answer to the roll, or the first failure.
+    """
+    content = orjson.dumps(sample.bundle_object(sample.sample_operators(), version=version))
+    bundle = bundles.parse(content).ok
+    digest = bundles.content_digest(bundle)
+    signing_key = hashlib.sha256(b"sample key of amos").digest()
+    thrift = control_state.control_thrift
+    commands = [
+        thrift.WriteBundle(
+            operation_id=f"write-{version}", actor="wren", content=bundles.canonical(bundle)
+        ),
+        thrift.ApproveBundle(
+            operation_id=f"approve-{version}",
+            actor="amos",
+            version=version,
+            digest=digest,
+            signature=bundles.sign(signing_key, digest),
+        ),
+        thrift.RollBundle(
+            operation_id=f"roll-{version}", actor="olga", version=version, digest=digest
+        ),
+    ]
+    result = codes.failure(codes.Code.INTERNAL, "nothing was proposed")
+    for command in commands:
+        result = await client.propose(command, clock.now() + 10.0)
+        if result.is_error():
+            return result
+    return result
--- a/chiveswitch/tools/main.py
+++ b/chiveswitch/tools/main.py
@@ -100,6 +100,21 @@
     start(settings, errors, standins.run_weight_store_main)
 
 
+def run_demo(settings: "Demo"):
+    """Runs the demo."""
+    from chiveswitch.tools import demo
+
+    start(settings, [], demo.main)
+
+
+@cappa.command(name="demo", invoke=run_demo, help="Show a whole system in one process.")
+@dataclasses.dataclass(slots=True)
+class Demo:
+    """Settings of the demo."""
+
+    log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "ERROR")]
+
+
 @cappa.command(name="gateway", invoke=run_gateway, help="Run the gateway of an entry VM.")
 @dataclasses.dataclass(slots=True)
 class Gateway:
@@ -207,7 +222,7 @@
 class Chiveswitch:
     """The command line."""
 
-    command: cappa.Subcommands[Gateway | Control | Engine | Service | WeightStore]
+    command: cappa.Subcommands[Gateway | Control | Engine | Service | WeightStore | Demo]
 
 
 def main():
--- a/chiveswitch/tools/serving.py
+++ b/chiveswitch/tools/serving.py
@@ -59,6 +59,9 @@
 
 async def abort(server: Server):
     """Stops a server at once and resets its connections."""
+    # The listeners go first, or a client could reach the server again before it has stopped.
+    for listener in server.servers:
+        listener.close()
     for connection in list(server.server_state.connections):
         connection.transport.abort()
     server.force_exit = True
