--- /dev/null
+++ b/chiveswitch/peers/control_server_test.py
@@ -0,0 +1,225 @@
+"""Tests of one control server and its client inside one event loop, with a folder under control."""
+
+import asyncio
+import threading
+
+import expression
+import pytest
+
+from chiveswitch.core import clock, codes, control_state
+from chiveswitch.core import consensus_messages as messages
+from chiveswitch.peers import control_client, control_server, kinds, links, strict
+from chiveswitch.tools import processes
+
+wire = control_state.control_thrift
+rpc = control_server.rpc
+
+
+class Folder:
+    """A data folder in memory whose commits wait for `permit` and can fail."""
+
+    def __init__(self, address):
+        self.node_id = "n"
+        self.stored = messages.initial_state(messages.Configuration({"n": address}))
+        self.permit = threading.Event()
+        self.permit.set()
+        self.failures = []
+        self.added = []
+        self.commits = 0
+
+    def append(self, records):
+        self.added.extend(records)
+
+    def commit(self):
+        self.permit.wait()
+        if self.failures:
+            return self.failures.pop(0)
+        self.commits += 1
+        return expression.Ok(0)
+
+    def save_snapshot(self, snapshot):
+        return expression.Ok(None)
+
+    def close(self):
+        self.permit.set()
+
+
+def run(scenario):
+    async def with_server():
+        address = f"127.0.0.1:{processes.free_port()}"
+        folder = Folder(address)
+        server = control_server.ControlServer(address, folder)
+        client = control_client.ControlClient([address])
+        await server.start()
+        try:
+            while server.leases is None:
+                await asyncio.sleep(0.01)
+            await scenario(server, folder, client)
+        finally:
+            folder.permit.set()
+            await client.close()
+            await server.close()
+
+    asyncio.run(with_server())
+
+
+def fence(number=0):
+    return wire.NextFence(target=f"t{number}")
+
+
+def accept(number):
+    return wire.AcceptRequest(account="a", request_id=f"r{number}", body=b"x", owner="g.1")
+
+
+def test_nothing_is_acknowledged_or_applied_before_its_sync():
+    # Guards against acknowledging a record that a power cut would lose.
+    async def scenario(server, folder, client):
+        folder.permit.clear()
+        task = asyncio.ensure_future(server.propose(fence()))
+        while not any(getattr(record, "data", b"") for record in folder.added):
+            await asyncio.sleep(0.01)
+        for _ in range(20):
+            await asyncio.sleep(0.005)
+            assert not task.done()
+            assert server.state.fences == {}
+        folder.permit.set()
+        assert (await task).ok.kind == "fence"
+
+    run(scenario)
+
+
+def test_proposals_of_one_wake_up_share_a_sync():
+    # Guards against one sync for each proposal, which bounds the rate by the disk.
+    async def scenario(server, folder, client):
+        before = folder.commits
+        results = await asyncio.gather(*(server.propose(fence(n)) for n in range(50)))
+        assert all(result.is_ok() for result in results)
+        assert folder.commits - before <= 3
+
+    run(scenario)
+
+
+def test_full_disk_delays_and_loses_nothing():
+    # Guards against a record that is dropped, added twice or acknowledged when the disk is full.
+    async def scenario(server, folder, client):
+        added = len(folder.added)
+        folder.failures = [codes.failure(codes.Code.DISK_FULL, "full")] * 2
+        assert (await server.propose(fence())).ok.kind == "fence"
+        assert folder.failures == []
+        assert len(folder.added) == added + 1
+
+    run(scenario)
+
+
+def test_failed_sync_ends_the_server():
+    # Guards against a member that goes on although it does not know what its disk holds.
+    async def scenario(server, folder, client):
+        folder.failures = [codes.failure(codes.Code.INTERNAL, "sync failed")]
+        task = asyncio.ensure_future(server.propose(fence()))
+        assert (await server.failed).message == "sync failed"
+        assert not task.done()
+        task.cancel()
+
+    run(scenario)
+
+
+def test_refusal_of_the_state_reaches_the_client_with_its_code():
+    # Guards against a refusal that is asked again until the deadline.
+    async def scenario(server, folder, client):
+        assert (await client.propose(accept(1), clock.now() + 5)).ok.number == 1
+        other = wire.AcceptRequest(account="a", request_id="r1", body=b"y", owner="g.1")
+        result = await client.propose(other, clock.now() + 5)
+        assert result.error.code == codes.Code.KEY_REUSED
+        found = await client.find_request("a", "r1", clock.now() + 5)
+        assert (found.ok.body, found.ok.owner, found.ok.generation) == (b"x", "g.1", 1)
+        assert not (await client.find_request("a", "r2", clock.now() + 5)).ok.found
+
+    run(scenario)
+
+
+def test_heartbeat_carries_the_list_of_gateways_only_when_it_changed():
+    # Guards against answers whose size grows with the square of the gateways.
+    async def scenario(server, folder, client):
+        beat = control_client.Beat("g", 1, "z", "127.0.0.1:1", "ready", 0)
+        before = clock.now()
+        asked_at, first = (await client.heartbeat(beat, clock.now() + 5)).ok
+        assert before <= asked_at <= clock.now()
+        assert [each.gateway_id for each in first.gateways] == ["g"]
+        beat.known_gateways = first.gateways_digest
+        _, second = (await client.heartbeat(beat, clock.now() + 5)).ok
+        assert second.gateways == []
+
+    run(scenario)
+
+
+class Member:
+    """A stand-in member that treats each proposal as its script says, by its number."""
+
+    def __init__(self, script):
+        self.script = script
+        self.seen = []
+        self.server = links.Server({kinds.Kind.CONTROL_PROPOSE: self.serve})
+        self.address = f"127.0.0.1:{processes.free_port()}"
+
+    async def serve(self, payload, _trace):
+        self.seen.append(payload)
+        step = self.script[min(len(self.seen), len(self.script)) - 1]
+        if step == "lost":
+            return codes.failure(codes.Code.LINK_CLOSED, "lost")
+        if isinstance(step, codes.Code):
+            return expression.Ok(
+                strict.encode(
+                    rpc.ProposeAnswer(code=int(step), message="", leader_address="", answer=b"")
+                )
+            )
+        answer = control_state.encode_result(expression.Ok(control_state.answer("fence")))
+        return expression.Ok(
+            strict.encode(
+                rpc.ProposeAnswer(
+                    code=int(codes.Code.OK), message="", leader_address="", answer=answer
+                )
+            )
+        )
+
+
+@pytest.mark.parametrize(
+    ("script", "code"),
+    [
+        ([codes.Code.NOT_LEADER], codes.Code.CONTROL_UNAVAILABLE),
+        ([codes.Code.QUEUE_FULL], codes.Code.CONTROL_UNAVAILABLE),
+        (["lost"], codes.Code.MAY_HAVE_RUN),
+        ([codes.Code.MAY_HAVE_RUN], codes.Code.MAY_HAVE_RUN),
+        (["lost", codes.Code.NOT_LEADER], codes.Code.MAY_HAVE_RUN),
+        ([codes.Code.MAY_HAVE_RUN, codes.Code.QUEUE_FULL], codes.Code.MAY_HAVE_RUN),
+        (["lost", codes.Code.NOT_LEADER, "answer"], None),
+    ],
+)
+def test_client_says_not_run_only_if_no_copy_was_taken(script, code):
+    # Guards against "not run" for a command of which an earlier copy may still be applied, and
+    # against a lost answer that is not asked for again with the same bytes.
+    async def scenario():
+        member = Member(script)
+        await member.server.start("127.0.0.1", int(member.address.rpartition(":")[2]))
+        client = control_client.ControlClient([member.address])
+        result = await client.propose(fence(), clock.now() + (30.0 if code is None else 0.5))
+        await client.close()
+        await member.server.close()
+        assert len(set(member.seen)) == 1
+        if code is None:
+            assert result.ok.kind == "fence"
+            assert len(member.seen) == 3
+        else:
+            assert result.error.code == code
+
+    asyncio.run(scenario())
+
+
+def test_client_says_not_run_if_nobody_can_be_reached():
+    # Guards against "unknown" for a command of which no byte was sent.
+    async def scenario():
+        client = control_client.ControlClient([f"127.0.0.1:{processes.free_port()}"])
+        result = await client.propose(fence(), clock.now() + 0.3)
+        await client.close()
+        assert result.error.code == codes.Code.CONTROL_UNAVAILABLE
+
+    asyncio.run(scenario())
--- a/chiveswitch/tools/sample.py
+++ b/chiveswitch/tools/sample.py
@@ -94,12 +94,17 @@
     }
 
 
+def operator_private_key(name: str) -> bytes:
+    """Returns the private key of a sample operator, 32 raw bytes."""
+    return hashlib.sha256(f"sample key of {name}".encode()).digest()
+
+
 def sample_operators() -> list:
     """Returns the operators of the sample: a writer, an approver and an operator who rolls."""
     people = []
     for name, role in (("wren", "writer"), ("amos", "approver"), ("olga", "operator")):
-        seed = hashlib.sha256(f"sample key of {name}".encode()).digest()
-        public = ed25519.Ed25519PrivateKey.from_private_bytes(seed).public_key()
+        private = ed25519.Ed25519PrivateKey.from_private_bytes(operator_private_key(name))
+        public = private.public_key()
         people.append(
             {
                 "name": name,
