--- a/chiveswitch/core/orders.py
+++ b/chiveswitch/core/orders.py
@@ -122,35 +122,51 @@
 class LoadBudget:
     """Token bucket that all loads from the weight store share.
 
-    It starts empty, because the predecessor may just have spent the same tokens.
+    It starts empty, because the predecessor may just have spent the same tokens. Tokens of orders
+    that are not sent yet count against the burst; else orders that wait, for instance for a
+    confirmation, would all be sent at once.
 
     Attributes:
         per_second: Loads per second in the long run.
         burst: Loads that may come at once, at least 1.
+        tokens: Loads that may be planned now.
+        reserved: Loads planned but not sent.
+        at: Time in seconds of the last refill.
     """
 
-    __slots__ = ("per_second", "burst", "tokens", "at")
+    __slots__ = ("per_second", "burst", "tokens", "reserved", "at")
 
     def __init__(self, per_second: float, burst: float, now: float):
         self.per_second = per_second
         self.burst = max(1.0, burst)
-        self.tokens = 0.0
-        self.at = now
+        self.drain(now)
 
     def drain(self, now: float) -> None:
         """Empties the budget: another leader may have spent tokens until now."""
         self.tokens = 0.0
+        self.reserved = 0
         self.at = now
 
-    def take(self, cost: float, now: float) -> bool:
-        """Takes tokens at a time in seconds, or returns False when too few are there."""
-        self.tokens = min(self.burst, self.tokens + max(0.0, now - self.at) * self.per_second)
+    def take(self, now: float) -> bool:
+        """Reserves one load at a time in seconds, or returns False when the budget is spent."""
+        refilled = self.tokens + max(0.0, now - self.at) * self.per_second
+        self.tokens = min(self.burst - self.reserved, refilled)
         self.at = max(self.at, now)
-        if self.tokens < cost:
+        if self.tokens < 1.0:
             return False
-        self.tokens -= cost
+        self.tokens -= 1.0
+        self.reserved += 1
         return True
 
+    def spend(self, loads: int) -> None:
+        """Notes that reserved loads were sent."""
+        self.reserved -= loads
+
+    def give_back(self, loads: int) -> None:
+        """Returns reserved loads that were not sent."""
+        self.reserved -= loads
+        self.tokens += loads
+
 
 class Order:
     """An order under way.
@@ -289,6 +305,9 @@
         engine = self.engines.setdefault(event.engine, Engine())
         basis = now - event.age
         if basis <= engine.basis + SAME_REPORT_S:
+            # The news that an engine leaves may overtake the report that it belongs to.
+            if not event.ready:
+                engine.report.ready = False
             return
         engine.report = event
         engine.basis = basis
@@ -344,7 +363,9 @@
             for engine_id, engine in self.engines.items()
             if now - engine.seen_at >= ABSENCE_S + REPORT_DELAY_S
         ]:
-            del self.engines[engine_id]
+            order = self.engines.pop(engine_id).order
+            if order is not None and order.sent_at is None:
+                self.budget.give_back(len(order.missing))
         actions = self.send_orders(now)
         if now - self.leading_since < ABSENCE_S:
             return actions
@@ -367,7 +388,7 @@
             present = set(engine.report.loaded) | set(engine.loading)
             missing = []
             for triple in load:
-                if triple not in present and self.budget.take(1.0, now):
+                if triple not in present and self.budget.take(now):
                     missing.append(triple)
             wanted = tuple(triple for triple in load if triple in present or triple in missing)
             wanted += kept
@@ -393,6 +414,7 @@
                     actions.append(ReadBack(engine_id))
                 continue
             if self.is_outdated(engine, now):
+                self.budget.give_back(len(order.missing))
                 engine.order = None
                 continue
             # The command for the fence may have been lost.
@@ -410,6 +432,7 @@
                     continue
                 before = self.confirmed_until
             order.sent_at = now
+            self.budget.spend(len(order.missing))
             actions.append(SendOrder(engine_id, order.fence, order.load, order.role, before))
         if confirm:
             actions.append(ConfirmLeadership())
