--- a/chiveswitch/core/orders_test.py
+++ b/chiveswitch/core/orders_test.py
@@ -94,3 +94,36 @@
     bench.report(10.5)
     bench.planner.handle(orders.LeadershipLost(), 10.6)
     assert bench.tick(10.7) == []
+
+
+def test_order_is_dropped_when_its_engine_lost_models_before_it_was_sent():
+    # Guards against an order that loads more than was taken from the budget.
+    bench = Bench()
+    bench.report(11.0, loaded=(("m", "", "v0"),), running=(("m", "", "v0"),))
+    assert bench.tick(11.0) == [orders.RequestFence("e1")]
+    bench.report(11.2)
+    bench.planner.handle(orders.FenceGranted("e1", (2, 7)), 11.3)
+    assert bench.planner.budget.reserved == 1
+    assert bench.tick(11.4) == [orders.RequestFence("e1")]
+    assert bench.planner.engines["e1"].order.load == LOAD
+    assert bench.planner.budget.reserved == 1
+
+
+def test_former_version_stays_while_generations_run_on_it():
+    # Guards against losing the only engines on which pinned generations can be resumed.
+    bench = Bench()
+    former = ("m", "a", "v0")
+    for now, running in ((21.0, (former,)), (22.0, ())):
+        bench.report(now, "e1", (former, *LOAD))
+        bench.report(now, "e2", LOAD, running=running)
+        assert bench.tick(now) == ([] if running else [orders.RequestFence("e1")])
+    assert bench.planner.engines["e1"].order.load == LOAD
+
+
+def test_engine_that_leaves_gets_no_order_even_if_the_news_has_an_older_age():
+    # Guards against loads on an engine that is about to end.
+    bench = Bench()
+    bench.report(11.0)
+    leaving = orders.EngineReport("e1", (), "mixed", False, True, None, (), 0.3)
+    bench.planner.handle(leaving, 11.1)
+    assert bench.tick(11.2) == []
