--- /dev/null
+++ b/chiveswitch/operators/differences.py
@@ -0,0 +1,60 @@
+"""The difference between two bundles by the names of their parts, for the approver to review."""
+
+from chiveswitch.core import bundles
+
+PARTS = ("services", "accounts", "models", "operators")
+
+
+def fields_changed(old, new) -> list:
+    """Returns a text `field: old -> new` for each field in which two records differ."""
+    old_values, new_values = bundles.to_object(old), bundles.to_object(new)
+    return [
+        f"{name}: {value_text(old_values[name])} -> {value_text(new_values[name])}"
+        for name in old_values
+        if old_values[name] != new_values[name]
+    ]
+
+
+def value_text(value) -> str:
+    """Returns a field's value as text."""
+    if isinstance(value, list):
+        return "[" + ", ".join(str(item) for item in value) + "]"
+    return "none" if value is None else str(value)
+
+
+def between(old: bundles.Bundle | None, new: bundles.Bundle) -> dict:
+    """Returns the difference of a bundle to an earlier one.
+
+    Args:
+        old: The bundle in force, or None before the first roll.
+        new: The bundle to approve.
+
+    Returns:
+        By part (`services`, `accounts`, `models`, `operators`) an object with the names `added` and
+        `removed` and with `changed`, a list of field texts by name.
+    """
+    result = {}
+    for part in PARTS:
+        old_by_name = {record.name: record for record in (getattr(old, part) if old else [])}
+        new_by_name = {record.name: record for record in getattr(new, part)}
+        changed = {}
+        for name, record in new_by_name.items():
+            if name in old_by_name and record != old_by_name[name]:
+                changed[name] = fields_changed(old_by_name[name], record)
+        result[part] = {
+            "added": [name for name in new_by_name if name not in old_by_name],
+            "removed": [name for name in old_by_name if name not in new_by_name],
+            "changed": changed,
+        }
+    return result
+
+
+def lines(difference: dict) -> list:
+    """Returns a difference as lines of text: `+` added, `-` removed, `~` changed."""
+    result = []
+    for part, changes in difference.items():
+        result.extend(f"+ {part} {name}" for name in changes["added"])
+        result.extend(f"- {part} {name}" for name in changes["removed"])
+        for name, fields in changes["changed"].items():
+            result.extend(f"~ {part} {name} {text}" for text in fields)
+    return result or ["no difference in services, accounts, models and operators"]
