Share the sample's operator keys and the server thread with the tests

sample.private_key and sample_operators take the roles, so that the tests no longer copy the derivation of keys; serving.Background replaces the tests' own thread.

--- a/chiveswitch/operators/app_test.py
+++ b/chiveswitch/operators/app_test.py
@@ -1,44 +1,21 @@
 """Tests of the administration API over loopback, with a control object that has no consensus."""
 
 import asyncio
-import hashlib
-import threading
 
 import hypothesis
 import orjson
 import pytest
-from cryptography.hazmat.primitives.asymmetric import ed25519
 from hypothesis import strategies
 
 from chiveswitch.core import bundles, codes
 from chiveswitch.operators import app, client, standin_control
 from chiveswitch.tools import sample, serving
 
-PEOPLE = {
-    "wren": "writer",
-    "will": "writer",
-    "amos": "approver",
-    "olga": "operator",
-    "omar": "operator",
-}
-
-
-def seed(name: str) -> bytes:
-    return hashlib.sha256(f"sample key of {name}".encode()).digest()
-
-
-def operator(name: str, role: str) -> dict:
-    public = ed25519.Ed25519PrivateKey.from_private_bytes(seed(name)).public_key()
-    return {
-        "name": name,
-        "role": role,
-        "public_key": public.public_bytes_raw().hex(),
-        "key_digest": sample.digest(f"{name}-key"),
-    }
+PEOPLE = {**sample.ROLE_BY_OPERATOR, "will": "writer", "omar": "operator"}
 
 
 def operators() -> list:
-    return [operator(name, role) for name, role in PEOPLE.items()]
+    return sample.sample_operators(PEOPLE)
 
 
 def content(version: int, resume: str = "latency") -> bytes:
@@ -50,41 +27,14 @@
 
 
 def sign(name: str, digest: str) -> str:
-    return bundles.sign(seed(name), bytes.fromhex(digest)).hex()
-
-
-class Background:
-    """An event loop in a thread, for servers beside synchronous tests and commands."""
-
-    def __init__(self):
-        self.loop = asyncio.new_event_loop()
-        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
-        self.thread.start()
-        self.servers = []
-
-    def run(self, awaitable):
-        return asyncio.run_coroutine_threadsafe(awaitable, self.loop).result(30)
-
-    def serve(self, application) -> str:
-        server = self.run(serving.start(application, "127.0.0.1", 0))
-        self.servers.append(server)
-        return f"127.0.0.1:{server.servers[0].sockets[0].getsockname()[1]}"
-
-    def close(self):
-        async def stop():
-            await asyncio.gather(*(serving.stop(server) for server in self.servers))
-
-        self.run(stop())
-        self.loop.call_soon_threadsafe(self.loop.stop)
-        self.thread.join()
-        self.loop.close()
+    return bundles.sign(sample.private_key(name), bytes.fromhex(digest)).hex()
 
 
 class System:
     """A control process on loopback."""
 
     def __init__(self):
-        self.background = Background()
+        self.background = serving.Background()
         self.control = standin_control.Control(operators())
         self.address = self.background.serve(app.build_app(self.control))
 
--- a/chiveswitch/operators/rollout_test.py
+++ b/chiveswitch/operators/rollout_test.py
@@ -6,8 +6,8 @@
 from starlette import applications, routing
 
 from chiveswitch.callers import app as callers_app
-from chiveswitch.operators import app_test, rollout
-from chiveswitch.tools import processes
+from chiveswitch.operators import rollout
+from chiveswitch.tools import processes, serving
 
 
 class Gateway:
@@ -29,7 +29,7 @@
 
 @pytest.fixture(scope="module")
 def background():
-    running = app_test.Background()
+    running = serving.Background()
     yield running
     running.close()
 
--- a/chiveswitch/tools/operator_commands_test.py
+++ b/chiveswitch/tools/operator_commands_test.py
@@ -10,7 +10,7 @@
 from chiveswitch.callers import app as callers_app
 from chiveswitch.core import codes
 from chiveswitch.operators import app_test, rollout, rollout_test
-from chiveswitch.tools import main, operator_commands
+from chiveswitch.tools import main, operator_commands, sample
 
 COMMANDS = "BundleCommand Check Write Approve Roll Show Audit Status Addresses"
 COMMAND_BY_NAME = {
@@ -48,7 +48,7 @@
 @pytest.fixture
 def files(tmp_path):
     (tmp_path / "1.json").write_bytes(app_test.content(1))
-    (tmp_path / "amos").write_text(app_test.seed("amos").hex())
+    (tmp_path / "amos").write_text(sample.private_key("amos").hex())
     (tmp_path / "amos").chmod(0o600)
     return tmp_path
 
--- a/chiveswitch/tools/sample.py
+++ b/chiveswitch/tools/sample.py
@@ -16,6 +16,7 @@
     "field": "field-key",
     "office": "office-key",
 }
+ROLE_BY_OPERATOR = {"wren": "writer", "amos": "approver", "olga": "operator"}
 SERVICE_DEFAULTS = {"accounts": sorted(KEY_BY_ACCOUNT)}
 
 
@@ -94,12 +95,16 @@
     }
 
 
-def sample_operators() -> list:
-    """Returns the operators of the sample: a writer, an approver and an operator who rolls."""
+def private_key(name: str) -> bytes:
+    """Returns the Ed25519 private key (32 bytes) of an operator of the sample."""
+    return hashlib.sha256(f"sample key of {name}".encode()).digest()
+
+
+def sample_operators(role_by_name=ROLE_BY_OPERATOR) -> list:
+    """Returns operators as JSON objects: a writer, an approver and one who rolls, or others."""
     people = []
-    for name, role in (("wren", "writer"), ("amos", "approver"), ("olga", "operator")):
-        seed = hashlib.sha256(f"sample key of {name}".encode()).digest()
-        public = ed25519.Ed25519PrivateKey.from_private_bytes(seed).public_key()
+    for name, role in role_by_name.items():
+        public = ed25519.Ed25519PrivateKey.from_private_bytes(private_key(name)).public_key()
         people.append(
             {
                 "name": name,
--- a/chiveswitch/tools/serving.py
+++ b/chiveswitch/tools/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import threading
 
 import uvicorn
 
@@ -55,3 +56,38 @@
     """Stops a server after its open responses have ended."""
     server.should_exit = True
     await server.task
+
+
+class Background:
+    """An event loop in a thread, for servers beside code that blocks or has a loop of its own.
+
+    Attributes:
+        loop: The event loop.
+    """
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self._thread.start()
+        self._servers = []
+
+    def run(self, awaitable, limit_s: float = 30.0):
+        """Runs an awaitable in the loop and returns its result, at most after some seconds."""
+        return asyncio.run_coroutine_threadsafe(awaitable, self.loop).result(limit_s)
+
+    def serve(self, app) -> str:
+        """Serves an application on a free port of loopback and returns its address, `ip:port`."""
+        server = self.run(start(app, "127.0.0.1", 0))
+        self._servers.append(server)
+        return f"127.0.0.1:{server.servers[0].sockets[0].getsockname()[1]}"
+
+    def close(self):
+        """Stops all servers at the same time, then the loop."""
+
+        async def stop_all():
+            await asyncio.gather(*(stop(server) for server in self._servers))
+
+        self.run(stop_all())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
+        self.loop.close()
