--- a/chiveswitch/tools/embedded.py
+++ b/chiveswitch/tools/embedded.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import hashlib
 import os
 
 import orjson
@@ -191,7 +190,7 @@
     content = orjson.dumps(sample.bundle_object(sample.sample_operators(), version=version))
     bundle = bundles.parse(content).ok
     digest = bundles.content_digest(bundle)
-    signing_key = hashlib.sha256(b"sample key of amos").digest()
+    signing_key = sample.private_key("amos")
     thrift = control_state.control_thrift
     commands = [
         thrift.WriteBundle(
