Serve the administration API and the orders' controller from control members

The members pull the directory from gateways, so that the status names the gateways' addresses and the controller sees the engines' reports.

--- a/chiveswitch/platform/controller_test.py
+++ b/chiveswitch/platform/controller_test.py
@@ -230,10 +230,13 @@
     report = orders_client.decode_status(orjson.dumps({**STATUS, name: value}), "e1", 0.1)
     if report is not None:
         assert value in ([], "mixed", "prefill", True, False)
-    unknown = orders_client.Result.UNKNOWN
+    unknown, fenced = orders_client.Result.UNKNOWN, orders_client.Result.FENCED
+    is_pair = isinstance(value, list) and [type(part) for part in value] == [int, int]
     for status in (200, 409, 500):
         body = orjson.dumps({"accepted": value, "fence": value})
-        assert orders_client.decode_result(status, body, (2, 5)) is unknown
+        # A refusal that states a higher fence, such as [3, 0], is a valid answer.
+        expected = fenced if status == 409 and is_pair and value > [2, 5] else unknown
+        assert orders_client.decode_result(status, body, (2, 5)) is expected
         assert orders_client.decode_result(status, body[:-1], (2, 5)) is unknown
     older = orjson.dumps({"fence": [1, 1]})
     assert orders_client.decode_result(409, older, (2, 5)) is unknown
--- a/chiveswitch/tools/control.py
+++ b/chiveswitch/tools/control.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import pathlib
+import random
 import signal
 import sys
 import uuid
@@ -11,10 +12,13 @@
 import expression
 import orjson
 
-from chiveswitch.core import bundles, codes, telemetry
+from chiveswitch.core import bundles, clock, codes, directory, orders, telemetry
 from chiveswitch.core import consensus_messages as messages
 from chiveswitch.core import settings as settings_module
-from chiveswitch.peers import control_server
+from chiveswitch.operators import app as operators_app
+from chiveswitch.operators import control_view
+from chiveswitch.peers import control_server, directory_feed
+from chiveswitch.platform import controller as controller_module
 from chiveswitch.storage import data_folder, files
 from chiveswitch.tools import serving
 
@@ -22,6 +26,9 @@
 
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
+# Control needs the reports of engines and the addresses of gateways, not their load to the moment.
+PULL_INTERVAL_SECONDS = 0.5
+LOAD_BURST = 2.0
 
 
 def parse_members(text: str) -> expression.Result:
@@ -124,14 +131,12 @@
     return opened
 
 
-async def serve(settings, folder, build_admin=None):
+async def serve(settings, folder):
     """Runs a member until SIGTERM or SIGINT.
 
     Args:
         settings: The command's settings.
         folder: The open data folder, which is closed at the end.
-        build_admin: Function from a `control_server.ControlServer` to the ASGI application of the
-            administration API, which is served at `--admin-listen`; None for none.
 
     Returns:
         None after a signal, or the `codes.Failure` that ended the member.
@@ -141,6 +146,18 @@
     )
     operators = read_operators(settings.operators_file).ok
     server = control_server.ControlServer(settings.listen, folder, operators, telemetry=instrument)
+    own = directory.Description(
+        folder.node_id, "gateway", settings.availability_zone, settings.listen, 0
+    )
+    view = control_view.ControlView(server, directory.Directory(own))
+    feed = directory_feed.DirectoryFeed(
+        view.directory, view.gateway_peers, PULL_INTERVAL_SECONDS, 1, random.Random()
+    )
+    budget = orders.LoadBudget(settings.loads_per_second, LOAD_BURST, clock.now())
+    controller = controller_module.Controller(
+        view, lambda: view.directory.usable_targets(clock.now()), budget
+    )
+    tasks = []
     admin = None
     stopped = asyncio.get_running_loop().create_future()
 
@@ -152,14 +169,21 @@
         asyncio.get_running_loop().add_signal_handler(number, on_signal)
     try:
         await server.start()
-        if settings.admin_listen and build_admin is not None:
+        if settings.admin_listen:
             host, _, port = settings.admin_listen.rpartition(":")
-            admin = await serving.start(build_admin(server), host, int(port))
+            admin = await serving.start(operators_app.build_app(view), host, int(port))
+        tasks.append(asyncio.ensure_future(feed.run()))
+        if settings.orders:
+            tasks.append(asyncio.ensure_future(controller.run()))
         log.info("control: %s listens on %s", folder.node_id, settings.listen)
         await asyncio.wait([stopped, server.failed], return_when=asyncio.FIRST_COMPLETED)
     except (OSError, RuntimeError) as error:
         return codes.Failure(codes.Code.SETTING_INVALID, f"Cannot listen: {error}")
     finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await feed.close()
         if admin is not None:
             admin.force_exit = True
             await serving.stop(admin)
@@ -169,12 +193,12 @@
     return server.failed.result() if server.failed.done() else None
 
 
-def main(settings, build_admin=None):
+def main(settings):
     """Opens the data folder and runs the daemon; exits with a numbered error if it cannot."""
     opened = open_folder(settings)
     failure = opened.error if opened.is_error() else None
     if failure is None:
-        failure = asyncio.run(serve(settings, opened.ok, build_admin))
+        failure = asyncio.run(serve(settings, opened.ok))
     if failure is not None:
         print(f"{int(failure.code)} {failure.code.name} {failure.message}", file=sys.stderr)
         is_setting = failure.code == codes.Code.SETTING_INVALID
--- a/chiveswitch/tools/main.py
+++ b/chiveswitch/tools/main.py
@@ -157,6 +157,10 @@
         str, option("operators-file", "JSON list of the operators of a new log.", "")
     ]
     admin_listen: Annotated[str, option("admin-listen", "Address for operators, ip:port.", "")]
+    orders: Annotated[bool, option("orders", "Send orders to engines while leading.", False)]
+    loads_per_second: Annotated[
+        float, option("loads-per-second", "Loads that the weight store permits.", 0.5)
+    ]
     trace_file: Annotated[str, option("trace-file", "File for spans, one JSON line each.", "")]
     statsd: Annotated[str, option("statsd", "Address of a statsd server, ip:port.", "")]
     log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
