--- a/chiveswitch/core/control_state.py
+++ b/chiveswitch/core/control_state.py
@@ -459,6 +459,11 @@
     parsed = bundles.parse(record.content)
     if parsed.is_error():
         return refusal(codes.Code.BUNDLE_INVALID, "; ".join(map(repr, parsed.error)))
+    content = bundles.canonical(parsed.ok)
+    # The canonical form spells out defaults; what cannot be parsed again must not be stored.
+    if len(content) > bundles.MAX_BYTES:
+        message = f"the canonical form has {len(content)} bytes, more than {bundles.MAX_BYTES}"
+        return refusal(codes.Code.BUNDLE_INVALID, message)
     version = parsed.ok.version
     digest = bundles.content_digest(parsed.ok)
     winner = state.bundles.get(version)
@@ -477,7 +482,7 @@
         return refusal(codes.Code.VERSION_CONFLICT, message)
     state.bundles[version] = control_thrift.BundleEntry(
         version=version,
-        content=bundles.canonical(parsed.ok),
+        content=content,
         digest=digest,
         writer=record.actor,
         writer_key=writer.public_key,
--- a/chiveswitch/core/control_state_test.py
+++ b/chiveswitch/core/control_state_test.py
@@ -427,3 +427,13 @@
     assert before != hashlib.sha256(b"").digest()
     log.commit(wire.NextFence(target="t"))
     assert log.replicas[0].digest() != before
+
+
+def test_bundle_whose_canonical_form_is_too_large_is_refused(monkeypatch):
+    # Guards against a stored bundle that cannot be parsed again: its roll failed on every replica.
+    log = Log()
+    log.commit(first_operators())
+    size = len(content(1))
+    assert len(bundles.canonical(bundles.parse(content(1)).ok)) > size
+    monkeypatch.setattr(bundles, "MAX_BYTES", size)
+    assert code(log.commit(write(1))) is codes.Code.BUNDLE_INVALID
