--- a/chiveswitch/core/directory.py
+++ b/chiveswitch/core/directory.py
@@ -475,6 +475,15 @@
         """Returns whether any peer or target was heard within the limit."""
         return now - self._heard_at <= limit_s
 
+    def is_complete(self, now: float) -> bool:
+        """Returns whether the view is current and not the first answer of a peer, which names
+        gateways whose descriptions are still to come."""
+        if not self.is_current(now):
+            return False
+        return not self._pending_by_digest or any(
+            entry.description.kind == "gateway" for entry in self.by_id.values()
+        )
+
     def _ticket_time(self, ticket, description, now):
         if len(ticket) != _TICKET.size:
             return None
--- a/chiveswitch/core/gateway.py
+++ b/chiveswitch/core/gateway.py
@@ -176,6 +176,7 @@
         self._sends = selection.Sends()
         self._scan_at = now
         self._live = ()
+        self._live_gateways = ()
         self._adopt_at_by_key = {}
         self._drain_at = None
         self._lost_zone_at = {}
@@ -462,6 +463,9 @@
             waiting.submits = [each for each in waiting.submits if each.reader != reader]
             if waiting.submits or waiting.pinned is not None:
                 continue
+            # This one waits for control to find the request, not for admission.
+            if type(waiting.service) is codes.Failure:
+                continue
             if waiting.service.on_absence == generation.ABSENCE_CANCEL:
                 self._pool(waiting.service).cancel(key)
                 del self._waiting_by_key[key]
@@ -475,7 +479,9 @@
 
     def _take_over(self, key, event, now, actions):
         """Starts to look for a request that is not open here; `event` waits for the outcome."""
-        if not self.directory.is_current(now) and len(self._live) > 1:
+        # A gateway that has just started knows no other one, so that it would call a request
+        # unknown that others hold.
+        if not self.directory.is_complete(now):
             if event is not None:
                 actions.append(
                     messages.ReaderFail(
@@ -559,7 +565,10 @@
             # The takeover committed all that the journal held.
             request.handle(
                 generation_messages.JournalCommitted(
-                    owner.generation, owner.committed[1], owner.committed[2], ""
+                    owner.generation,
+                    owner.committed[1],
+                    owner.committed[2],
+                    request.note_committed(),
                 ),
                 now,
                 actions,
@@ -832,14 +841,19 @@
                 if entry.state == "ready"
             )
         )
-        if live == self._live:
-            return
-        self._live = live
-        gateways = [gateway for gateway in self._holders(now) if gateway.holder in live]
+        if live != self._live:
+            self._live = live
+            self._live_gateways = [
+                gateway for gateway in self._holders(now) if gateway.holder in live
+            ]
+            for pool in self._pool_by_model.values():
+                pool.set_live_gateways(max(1, len(live)))
+        # A journal that was admitted or taken over since the last change may have a holder that
+        # was lost before, or too few of them.
         for request in list(self.open_by_key.values()):
-            request.owner_event(replication.GatewaysChanged(gateways), now, actions)
-        for pool in self._pool_by_model.values():
-            pool.set_live_gateways(max(1, len(live)))
+            if request.owner.gateways is not self._live_gateways:
+                event = replication.GatewaysChanged(self._live_gateways)
+                request.owner_event(event, now, actions)
 
     def _scan_targets(self, now, actions):
         usable = {entry.description.id for entry in self.directory.usable_targets(now)}
@@ -850,13 +864,13 @@
             entry.description.id: entry.description.availability_zone
             for entry in self.directory.usable_targets(now)
         }
+        is_current = self.directory.is_current(now)
         for request in list(self.open_by_key.values()):
-            targets = {entry.description.id for entry in request.entry_by_attempt.values()}
-            for target in targets - usable:
+            for target in request.machine.targets() - usable:
                 entry = self.directory.by_id.get(target)
-                if entry is None:
+                if entry is None and is_current:
                     request.handle(generation_messages.TargetLost(target), now, actions)
-                elif entry.state == "leaving":
+                elif entry is not None and entry.state == "leaving":
                     request.handle(generation_messages.TargetLeaving(target), now, actions)
 
     def _scan_orphans(self, now, actions):
--- a/chiveswitch/core/generation.py
+++ b/chiveswitch/core/generation.py
@@ -431,6 +431,11 @@
         """Returns whether any reader waits for tokens or the end."""
         return bool(self._readers)
 
+    def targets(self) -> set:
+        """Returns the ids of the targets on which an attempt runs or is still to be cancelled."""
+        running = {each.target for each in (self._current, self._hedge) if each is not None}
+        return running | {cancel.target for cancel in self._cancels.values()}
+
     def handle(self, event, now: float) -> list:
         """Handles one event.
 
@@ -444,9 +449,10 @@
         actions = self._actions = []
         if self.released:
             if type(event) is messages.ReaderAttached:
-                self._fail_reader(
-                    event.reader, codes.Code.REQUEST_UNKNOWN, "the request was released", now
-                )
+                # After a failure such as a lost ownership the request may go on elsewhere, so that
+                # it must not be called unknown.
+                code = self.outcome if self._is_failed() else codes.Code.REQUEST_UNKNOWN
+                self._fail_reader(event.reader, code, "the request was released", now)
             return actions
         handler = _HOT_HANDLERS.get(type(event))
         if handler is not None:
--- a/chiveswitch/core/replication.py
+++ b/chiveswitch/core/replication.py
@@ -227,6 +227,7 @@
         committed_attempt: Number of the latest attempt note that a majority has, 0 if none.
         closed: Whether the owner stepped down.
         deadline: Time before which a `Tick` has nothing to do, in seconds.
+        gateways: List of live gateways as given last.
     """
 
     __slots__ = (
@@ -246,7 +247,7 @@
         "_fresh",
         "_copies_wanted",
         "_settings",
-        "_gateways",
+        "gateways",
         "_copy_by_holder",
         "_lost",
         "_joining",
@@ -283,7 +284,7 @@
         self._fresh = fresh
         self._copies_wanted = copies_wanted
         self._settings = settings
-        self._gateways = gateways
+        self.gateways = gateways
         self._copy_by_holder = {holder: Copy() for holder in snapshot.config.members()}
         self._lost = ()
         self._joining = None
@@ -473,7 +474,7 @@
         return actions
 
     def _gateways_changed(self, event, now):
-        self._gateways = event.gateways
+        self.gateways = event.gateways
         live = {gateway.holder for gateway in event.gateways}
         self._lost = tuple(holder for holder in self._lost if holder not in live)
         self._failed = ()
@@ -620,24 +621,26 @@
     def _start_change(self, now, actions):
         if self._joining or self.config.previous_holders:
             return
-        live = {gateway.holder for gateway in self._gateways}
+        live = {gateway.holder for gateway in self.gateways}
         holders = self.config.holders
         own = self.epoch[1]
         self._leaving = next((h for h in holders if h in self._lost or h not in live), None)
         is_short = len(holders) < self._copies_wanted
-        if own in holders and self._leaving is None and not is_short:
+        is_placed = own in holders or own not in live
+        if is_placed and self._leaving is None and not is_short:
             return
         usable = [
             gateway
-            for gateway in self._gateways
+            for gateway in self.gateways
             if gateway.holder not in self._lost and gateway.holder not in self._failed
         ]
         ranked = ranking.rank(self.key, usable)
-        if own not in holders and own not in self._failed and own not in self._lost:
-            # After a takeover the new owner joins first: its own copy is the quickest to reach.
+        if own in live - set(holders) and own not in self._failed and own not in self._lost:
+            # After a takeover the new owner joins first: its own copy is the quickest to reach. An
+            # owner that drains is not live: it was replaced as a holder and must not join again.
             joining = own
             if self._leaving is None and not is_short:
-                order = [g.holder for g in ranking.rank(self.key, self._gateways)]
+                order = [g.holder for g in ranking.rank(self.key, self.gateways)]
                 self._leaving = max(holders, key=order.index)
         else:
             staying = [holder for holder in holders if holder != self._leaving]
--- a/chiveswitch/core/requests.py
+++ b/chiveswitch/core/requests.py
@@ -154,7 +154,7 @@
                             action.generation,
                             action.length,
                             action.end is not None,
-                            self._note_committed(),
+                            self.note_committed(),
                         ),
                         now,
                     )
@@ -165,7 +165,8 @@
                 actions.append(outward.Count({"journal_holder_changes": 1}))
         return returned
 
-    def _note_committed(self):
+    def note_committed(self) -> str:
+        """Returns the latest attempt note that a majority of the holders has."""
         number = self.owner.committed_attempt
         if self._note_by_number and number in self._note_by_number:
             self._committed_note = self._note_by_number[number]
