Add the measuring tool: load, faults, token check and reports

The stand-in engine lists its running attempts, and the gateway's status shows the bytes sent to peers.

--- a/chiveswitch/targets/standin_engine.py
+++ b/chiveswitch/targets/standin_engine.py
@@ -294,6 +294,10 @@
             }
         )
 
+    async def attempts(_request):
+        running = [each.attempt_id for each in engine.running if not each.cancelled]
+        return responses.JSONResponse({"attempts": running})
+
     async def faults(request):
         body = orjson.loads(await request.body())
         if body.get("silence_streams"):
@@ -308,6 +312,7 @@
             routing.Route("/v1/generations/{attempt_id}", reattach, methods=["GET"]),
             routing.Route("/v1/generations/{attempt_id}", cancel, methods=["DELETE"]),
             routing.Route("/v1/status", status, methods=["GET"]),
+            routing.Route("/standin/attempts", attempts, methods=["GET"]),
             routing.Route("/standin/faults", faults, methods=["POST"]),
         ]
     )
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -139,6 +139,7 @@
             "open": len(core.open_by_key),
             "journals": len(core.store.by_key),
             "journal_bytes": core.store.size,
+            "peer_bytes_out": sum(link.bytes_out for link in self._link_by_address.values()),
             "targets": [
                 {
                     "id": entry.description.id,
--- a/chiveswitch/tools/main.py
+++ b/chiveswitch/tools/main.py
@@ -8,14 +8,9 @@
 import cappa
 
 from chiveswitch.core import settings as settings_module
+from chiveswitch.tools import measure_settings, options
 
-
-def option(name: str, help_text: str, default=cappa.Empty):
-    """Returns a flag `--name` that can also be set by the environment variable CHIVESWITCH_NAME."""
-    variable = "CHIVESWITCH_" + name.upper().replace("-", "_")
-    if default is cappa.Empty:
-        return cappa.Arg(long=f"--{name}", default=cappa.Env(variable), help=help_text)
-    return cappa.Arg(long=f"--{name}", default=cappa.Env(variable, default=default), help=help_text)
+option = options.option
 
 
 def start(settings, errors, run):
@@ -101,7 +96,7 @@
 class Chiveswitch:
     """The command line."""
 
-    command: cappa.Subcommands[Gateway | Engine]
+    command: cappa.Subcommands[Gateway | Engine | measure_settings.Measure]
 
 
 def main():
