--- a/chiveswitch/tools/measure.py
+++ b/chiveswitch/tools/measure.py
@@ -8,7 +8,7 @@
 from chiveswitch.core import clock
 from chiveswitch.core import settings as settings_module
 from chiveswitch.tools import measure_check, measure_load, measure_report, measure_settings
-from chiveswitch.tools import measure_system
+from chiveswitch.tools import measure_driver, measure_scaling, measure_system
 
 FINISH_TIMEOUT_SECONDS = 90.0
 
@@ -148,8 +148,12 @@
     Returns:
         1 if any token error was found, else 0.
     """
+    if settings.driver_plan:
+        return measure_driver.main(settings.driver_plan)
     folder = pathlib.Path(settings.results)
     folder.mkdir(parents=True, exist_ok=True)
+    if settings.streams_per_core:
+        return measure_scaling.main(settings, folder)
     rounds_by_setting = asyncio.run(run(settings))
     summary = measure_report.summarise(rounds_by_setting, settings)
     measure_report.write(folder, summary, rounds_by_setting)
--- /dev/null
+++ b/chiveswitch/tools/measure_scaling.py
@@ -0,0 +1,263 @@
+"""The scaling mode: one gateway, with two others as holders, at rising numbers of streams."""
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+import pstats
+import signal
+
+import orjson
+import psutil
+from matplotlib import pyplot
+
+from chiveswitch.core import clock
+from chiveswitch.core import settings as settings_module
+from chiveswitch.tools import measure_check, measure_report, measure_system
+
+GATEWAYS = 3
+DIRECT_STREAMS = 6
+RAMP_SECONDS = 3.0
+# Drivers start and open their streams in this time before the measured window.
+LEAD_SECONDS = 8.0
+TOP_COSTS = 10
+
+
+async def run_level(settings, streams: int, folder: pathlib.Path) -> dict:
+    """Measures one number of streams with a new system.
+
+    Args:
+        settings: The command's settings; `seconds` is the length of the measured window.
+        streams: Streams through the measured gateway.
+        folder: Folder for logs and the drivers' plans.
+    """
+    system_settings = dataclasses.replace(settings, gateways=GATEWAYS)
+    system = measure_system.System(
+        system_settings, folder / f"streams-{streams}", profile=settings.profile
+    )
+    try:
+        await system.wait_ready()
+        gateway = system.part_by_name["g0"]
+        watched = {
+            name: psutil.Process(process.pid)
+            for name, process in system.fleet.process_by_name.items()
+        }
+        memory_before = watched["g0"].memory_info().rss
+        load_average = os.getloadavg()[0]
+        begin = clock.now() + LEAD_SECONDS
+        end = begin + settings.seconds
+        drivers = min(settings.drivers, streams)
+        plans = []
+        for number in range(drivers):
+            plan = {
+                "name": f"{number}",
+                "gateway": gateway.address,
+                "engines": [part.address for part in system.parts("engine")],
+                "streams": streams // drivers + (number < streams % drivers),
+                "direct": DIRECT_STREAMS,
+                "ramp": RAMP_SECONDS,
+                "window": (begin, end),
+                "seed": settings.seed,
+            }
+            path = folder / f"streams-{streams}" / f"driver-{number}.json"
+            path.with_suffix(".result").unlink(missing_ok=True)
+            path.write_bytes(orjson.dumps(plan))
+            plans.append(path)
+            system.fleet.start(f"d{number}", "measure", "--driver-plan", str(path))
+        await asyncio.sleep(begin - clock.now())
+        cpu_begin = {name: _cpu(process) for name, process in watched.items()}
+        await asyncio.sleep(end - clock.now())
+        cpu = {name: _cpu(process) - cpu_begin[name] for name, process in watched.items()}
+        memory = watched["g0"].memory_info().rss
+        status = await system.get(gateway, "/v1/status")
+        results = await _results(system, plans)
+        if settings.profile:
+            await _stop_profiled(system)
+    finally:
+        await system.close()
+    gaps = [gap for result in results for gap in result["gaps"]]
+    direct = [gap for result in results for gap in result["direct_gaps"]]
+    tokens = sum(result["tokens"] for result in results)
+    between = measure_check.percentiles(gaps)
+    between_direct = measure_check.percentiles(direct)
+    errors = {}
+    for result in results:
+        for kind, count in result["errors"].items():
+            errors[kind] = errors.get(kind, 0) + count
+    return {
+        "streams": streams,
+        "open": sum(result["open"] for result in results),
+        "load_average": load_average,
+        "tokens_per_second": tokens / settings.seconds,
+        "cpu_share": cpu["g0"] / settings.seconds,
+        "cpu_us_per_token": 1e6 * cpu["g0"] / max(1, tokens),
+        "holder_cpu_share": max(cpu["g1"], cpu["g2"]) / settings.seconds,
+        "engine_cpu_share": max(cpu[part.name] for part in system.parts("engine"))
+        / settings.seconds,
+        "driver_cpu_share": max(result["cpu_share"] for result in results),
+        "memory_per_generation": (memory - memory_before) / streams,
+        "memory": memory,
+        "between_tokens": between,
+        "between_tokens_direct": between_direct,
+        "added_p95": between.get("p95", 0) - between_direct.get("p95", 0),
+        "added_p50": between.get("p50", 0) - between_direct.get("p50", 0),
+        "token_errors": errors,
+        "moves_silent": status["counters"].get("moves_silent", 0),
+        "moves_false": status["counters"].get("moves_false", 0),
+    }
+
+
+def _cpu(process):
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+async def _results(system, plans):
+    for number in range(len(plans)):
+        process = system.fleet.process_by_name[f"d{number}"]
+        await asyncio.to_thread(process.wait, 60)
+    return [orjson.loads(path.with_suffix(".result").read_bytes()) for path in plans]
+
+
+async def _stop_profiled(system):
+    """Ends the profiled gateway by two signals, so that the profile is written."""
+    process = system.fleet.process_by_name["g0"]
+    process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.5)
+    process.send_signal(signal.SIGTERM)
+    await asyncio.to_thread(process.wait, 20)
+
+
+def top_costs(profile: str, tokens: float) -> list:
+    """Returns the costliest functions of a profile by their own time.
+
+    Args:
+        profile: File of cProfile.
+        tokens: Tokens that passed while it was taken.
+    Returns:
+        List of (function, calls per token, microseconds per token).
+    """
+    stats = pstats.Stats(profile).stats
+    rows = sorted(stats.items(), key=lambda item: -item[1][2])[: TOP_COSTS + 2]
+    return [
+        (f"{'/'.join(path.split('/')[-2:])}:{line} {name}", calls / tokens, 1e6 * own / tokens)
+        for (path, line, name), (_, calls, own, _, _) in rows
+    ]
+
+
+def fits(levels: list) -> dict:
+    """Returns linear fits of CPU and memory against streams, as slope and intercept.
+
+    Only levels at which the gateway was not saturated count, since a saturated process drops
+    behind instead of using more CPU.
+    """
+    usable = [level for level in levels if level["cpu_share"] < 0.9]
+    if len(usable) < 2:
+        return {}
+    streams = [level["streams"] for level in usable]
+    slope, intercept = measure_check.linear_fit(streams, [x["cpu_share"] for x in usable])
+    memory_slope, memory_intercept = measure_check.linear_fit(
+        streams, [level["memory"] for level in usable]
+    )
+    return {
+        "levels": streams,
+        "cpu_share_per_stream": slope,
+        "cpu_share_idle": intercept,
+        "memory_per_stream": memory_slope,
+        "memory_idle": memory_intercept,
+        "streams_per_core": (1 - intercept) / slope if slope > 0 else None,
+    }
+
+
+def markdown(result: dict) -> str:
+    """Returns the result as Markdown."""
+    titles = "streams|tokens/s|gateway CPU %|CPU us/token|KB per generation|added p95 ms"
+    titles += "|through gateway p50/p95/p99 ms|direct p50/p95/p99 ms|holder CPU %|engine CPU %"
+    titles += "|driver CPU %|moves|false moves|token errors|load average"
+    rows = []
+    for level in result["levels"]:
+        through, direct = level["between_tokens"], level["between_tokens_direct"]
+        rows.append(
+            [
+                level["streams"],
+                f"{level['tokens_per_second']:.0f}",
+                f"{100 * level['cpu_share']:.0f}",
+                f"{level['cpu_us_per_token']:.0f}",
+                f"{level['memory_per_generation'] / 1000:.0f}",
+                f"{1000 * level['added_p95']:.1f}",
+                "/".join(f"{1000 * through.get(p, 0):.1f}" for p in ("p50", "p95", "p99")),
+                "/".join(f"{1000 * direct.get(p, 0):.1f}" for p in ("p50", "p95", "p99")),
+                f"{100 * level['holder_cpu_share']:.0f}",
+                f"{100 * level['engine_cpu_share']:.0f}",
+                f"{100 * level['driver_cpu_share']:.0f}",
+                level["moves_silent"],
+                level["moves_false"],
+                level["token_errors"] or 0,
+                f"{level['load_average']:.1f}",
+            ]
+        )
+    parts = [measure_report.table(titles.split("|"), rows)]
+    if result["fits"]:
+        fit = result["fits"]
+        parts.append(
+            f"CPU share = {fit['cpu_share_idle']:.3f} + {fit['cpu_share_per_stream']:.5f} * "
+            f"streams; memory = {fit['memory_idle'] / 1e6:.1f} MB + "
+            f"{fit['memory_per_stream'] / 1e3:.1f} KB * streams; levels {fit['levels']}; "
+            f"one core is full at {fit['streams_per_core']:.0f} streams."
+        )
+    if result["costs"]:
+        rows = [
+            [f"`{name}`", f"{calls:.2f}", f"{cost:.1f}"] for name, calls, cost in result["costs"]
+        ]
+        parts.append(measure_report.table(["function", "calls/token", "own us/token"], rows))
+    return "\n\n".join(parts) + "\n"
+
+
+async def run(settings, folder: pathlib.Path) -> list:
+    """Measures all levels in turn and returns their figures."""
+    levels = []
+    for streams in settings_module.split_list(settings.levels):
+        levels.append(await run_level(settings, int(streams), folder / "logs"))
+    return levels
+
+
+def main(settings, folder: pathlib.Path) -> int:
+    """Runs the scaling mode, prints and saves its report.
+
+    Returns:
+        1 if any token error was found, else 0.
+    """
+    if settings.profile:
+        settings = dataclasses.replace(settings, profile=str(pathlib.Path(settings.profile)))
+    levels = asyncio.run(run(settings, folder))
+    costs = []
+    if settings.profile:
+        seconds = settings.seconds + LEAD_SECONDS - RAMP_SECONDS / 2
+        costs = top_costs(settings.profile, levels[-1]["tokens_per_second"] * seconds)
+    result = {
+        "environment": measure_report.environment(),
+        "command": dataclasses.asdict(settings),
+        "levels": levels,
+        "fits": fits(levels),
+        "costs": costs,
+    }
+    text = markdown(result)
+    (folder / "scaling.json").write_bytes(orjson.dumps(result, option=orjson.OPT_INDENT_2))
+    (folder / "scaling.md").write_text(text)
+    _plot(folder / "scaling.png", levels)
+    print(text)
+    return int(any(level["token_errors"] for level in levels))
+
+
+def _plot(path, levels):
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(10, 4))
+    streams = [level["streams"] for level in levels]
+    left.plot(streams, [100 * level["cpu_share"] for level in levels], marker="o")
+    left.set_xlabel("streams")
+    left.set_ylabel("gateway CPU, %")
+    right.plot(streams, [1000 * level["added_p95"] for level in levels], marker="o")
+    right.axhline(5, color="grey", linestyle=":")
+    right.set_xlabel("streams")
+    right.set_ylabel("added between tokens at p95, ms")
+    figure.savefig(path, dpi=100)
+    pyplot.close(figure)
--- a/chiveswitch/tools/measure_system.py
+++ b/chiveswitch/tools/measure_system.py
@@ -51,7 +51,7 @@
         http: Client for status and fault requests.
     """
 
-    def __init__(self, settings, folder: pathlib.Path, gateway_flags=()):
+    def __init__(self, settings, folder: pathlib.Path, gateway_flags=(), profile: str = ""):
         folder.mkdir(parents=True, exist_ok=True)
         self.settings = settings
         self.fleet = processes.Fleet(str(folder))
@@ -71,7 +71,8 @@
                 *("--bundle-file", str(bundle_file), "--log-level", "WARNING"),
                 *gateway_flags,
             ]
-            self._add(f"g{number}", "gateway", address, arguments)
+            interpreter = ("-m", "cProfile", "-o", profile) if profile and number == 0 else ()
+            self._add(f"g{number}", "gateway", address, arguments, interpreter)
         for number, address in enumerate(addresses[2 * settings.gateways :]):
             # Each engine gets the gateways in another order, since it announces to the first two.
             turn = number % len(callers)
@@ -84,9 +85,9 @@
             ]
             self._add(f"e{number}", "engine", address, arguments)
 
-    def _add(self, name, role, address, arguments):
+    def _add(self, name, role, address, arguments, interpreter=()):
         self.part_by_name[name] = Part(name, role, address, arguments)
-        self.fleet.start(name, *arguments)
+        self.fleet.start(name, *arguments, interpreter=interpreter)
 
     def parts(self, role: str) -> list:
         """Returns the parts of a role."""
--- a/chiveswitch/tools/processes.py
+++ b/chiveswitch/tools/processes.py
@@ -42,14 +42,20 @@
         self._log_folder = log_folder
         self._log_files = []
 
-    def start(self, name: str, *arguments: str):
-        """Starts `chiveswitch` with the given arguments."""
+    def start(self, name: str, *arguments: str, interpreter=()):
+        """Starts `chiveswitch`.
+
+        Args:
+            name: Name of the process.
+            arguments: Arguments of the command.
+            interpreter: Arguments of the interpreter before the command's module.
+        """
         output = subprocess.DEVNULL
         if self._log_folder:
             output = open(os.path.join(self._log_folder, f"{name}.log"), "ab")
             self._log_files.append(output)
         self.process_by_name[name] = subprocess.Popen(
-            [sys.executable, "-m", "chiveswitch.tools.main", *arguments],
+            [sys.executable, *interpreter, "-m", "chiveswitch.tools.main", *arguments],
             stdout=output,
             stderr=output,
             stdin=subprocess.DEVNULL,
