--- a/chiveswitch/core/codes.py
+++ b/chiveswitch/core/codes.py
@@ -42,6 +42,7 @@
     DRAINING = 3006
     CONTROL_UNAVAILABLE = 3007
     RETRY_BUDGET_SPENT = 3008
+    VIEW_INCOMPLETE = 3009
     MAY_HAVE_RUN = 4001
     IN_PROGRESS = 4002
     OWNERSHIP_LOST = 4003
@@ -108,6 +109,7 @@
     Code.DRAINING: Meaning(Run.NOT_RUN, Retry.OTHER_ADDRESS, 503),
     Code.CONTROL_UNAVAILABLE: Meaning(Run.NOT_RUN, Retry.LATER, 503),
     Code.RETRY_BUDGET_SPENT: Meaning(Run.UNKNOWN, Retry.LATER, 503),
+    Code.VIEW_INCOMPLETE: Meaning(Run.NOT_RUN, Retry.OTHER_ADDRESS, 503),
     Code.MAY_HAVE_RUN: Meaning(Run.UNKNOWN, Retry.SAME_KEY, 504),
     Code.IN_PROGRESS: Meaning(Run.UNKNOWN, Retry.SAME_KEY, 409),
     Code.OWNERSHIP_LOST: Meaning(Run.UNKNOWN, Retry.OTHER_ADDRESS, 409),
@@ -175,13 +177,28 @@
     return expression.Ok(value)
 
 
-def to_json(code: Code, message: str) -> dict:
-    """Returns the JSON object that an HTTP error response carries."""
+# Refusals for lack of capacity. They say "not run" of one submission only.
+REFUSAL_CODES = range(3000, 4000)
+
+
+def to_json(code: Code, message: str, is_first_send: bool = True) -> dict:
+    """Returns the JSON object that an HTTP error response carries.
+
+    Args:
+        code: The result code.
+        message: One sentence.
+        is_first_send: Whether the caller says that it never sent the request before. A refused
+            resend says nothing about what became of the earlier submission, so its fate is
+            unknown then.
+    """
     meaning = MEANING_BY_CODE[code]
+    run = meaning.run
+    if code in REFUSAL_CODES and not is_first_send:
+        run = Run.UNKNOWN
     return {
         "code": int(code),
         "name": code.name,
-        "run": meaning.run.value,
+        "run": run.value,
         "retry": meaning.retry.value,
         "message": message,
     }
--- a/chiveswitch/core/gateway.py
+++ b/chiveswitch/core/gateway.py
@@ -36,6 +36,10 @@
 # Up to this number of gateways a lookup asks all of them.
 SMALL_SYSTEM = 16
 DRAIN_ACCEPT_S = 12.5
+# For this long after its start a gateway waits to know enough others to hold its journals. Later
+# it works with those that are there, since the others may be dead.
+START_GRACE_S = 5.0
+START_GATEWAYS = 3
 # A draining gateway waits at most this long for other gateways to replace it as a holder.
 DRAIN_JOURNALS_S = 5.0
 PRIORITY_BY_NAME = {"lookup": 0, "interactive": 1, "batch": 2}
@@ -53,6 +57,7 @@
         copies: Copies of each journal, or 0 for the service's setting; 1 is a baseline.
         restart: Baseline: failed generations start again instead of continuing.
         max_open: Open generations at most, which bounds memory.
+        peers: Number of gateways that the settings name, the own one included.
         store: `journal.StoreSettings`.
         replication: `replication.Settings`.
         admission: `admission.AdmissionSettings`.
@@ -67,6 +72,7 @@
         "copies",
         "restart",
         "max_open",
+        "peers",
         "store",
         "replication",
         "admission",
@@ -82,6 +88,7 @@
         copies=0,
         restart=False,
         max_open=5000,
+        peers=0,
     ):
         self.lease_s = lease_s
         self.suspect_s = suspect_s
@@ -90,6 +97,7 @@
         self.copies = copies
         self.restart = restart
         self.max_open = max_open
+        self.peers = peers
         self.store = journal.StoreSettings()
         self.replication = replication.Settings()
         self.admission = admission.AdmissionSettings()
@@ -164,6 +172,7 @@
         self.bundle = None
         self._rng = rng
         self._confirmed_at = -1e9
+        self._started_at = now
         self._service_by_name = {}
         self._account_by_digest = {}
         self._waiting_by_key = {}
@@ -214,6 +223,13 @@
             return codes.Failure(
                 codes.Code.BUNDLE_STALE, "This gateway cannot confirm its bundle at control."
             )
+        if now < self._started_at + START_GRACE_S:
+            known = sum(entry.state == "ready" for entry in self.directory.live_gateways(now))
+            if known < min(START_GATEWAYS, self.settings.peers):
+                return codes.Failure(
+                    codes.Code.VIEW_INCOMPLETE,
+                    "This gateway has started and does not yet know enough other gateways.",
+                )
         return None
 
     def permitted(self, account: str, service_name: str, kind: str):
@@ -743,6 +759,48 @@
         )
         return result.ok if result.is_ok() else None
 
+    def usable_address(self, target: str, now: float) -> str:
+        """Returns the address of a target if it may get new work at this moment, else empty."""
+        for entry in self.directory.usable_targets(now):
+            if entry.description.id == target:
+                return entry.description.address
+        return ""
+
+    def take_retry(self, account: str, now: float) -> bool:
+        """Takes one retry from the budgets; returns whether there was one."""
+        return self._budget.take(account, now)
+
+    def admit_call(self, account: str, service, call_id, now: float):
+        """Admits a plain service call, which is not queued.
+
+        Returns:
+            None, or why the call is refused as a `codes.Failure`. An admitted call is ended by
+            `finish_call`.
+        """
+        failure = self.refusal(now)
+        if failure is not None:
+            return failure
+        pool = self._call_pool()
+        priority = PRIORITY_BY_NAME[service.priority]
+        request = admission.Request(call_id, account, priority, service.wait_limit_s)
+        result = pool.offer(request, now)
+        if result.is_error():
+            return result.error
+        pool.take(1, now)
+        self._retry.admitted(account, now)
+        return None
+
+    def finish_call(self, call_id):
+        """Ends an admitted call."""
+        self._call_pool().finish(call_id)
+
+    def _call_pool(self):
+        pool = self._pool_by_model.get(None)
+        if pool is None:
+            pool = self._pool_by_model[None] = admission.Admission(self.settings.admission, 0.0)
+            self._set_limits(pool)
+        return pool
+
     def attempt_started(self, request, number, target, now):
         """Notes a send and returns the target's address."""
         entry = self.directory.by_id.get(target)
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -8,14 +8,21 @@
 import uuid
 
 from chiveswitch.callers import app as callers_app
-from chiveswitch.callers import readers
+from chiveswitch.callers import call_runner, readers
 from chiveswitch.core import addresses, bundles, clock, codes, directory, gateway, journal
 from chiveswitch.core import gateway_messages as messages
 from chiveswitch.core import generation_messages, telemetry
 from chiveswitch.core import settings as settings_module
-from chiveswitch.peers import directory_codec, frames, journal_codec, kinds, links
+from chiveswitch.peers import (
+    control_client,
+    directory_codec,
+    frames,
+    journal_codec,
+    kinds,
+    links,
+)
 from chiveswitch.targets import engine_client, streams
-from chiveswitch.tools import serving
+from chiveswitch.tools import gateway_control, serving
 
 log = logging.getLogger("chiveswitch.gateway")
 
@@ -23,6 +30,8 @@
 PULL_INTERVAL_SECONDS = 0.4
 PULL_PEERS = 2
 PULL_TIMEOUT_SECONDS = 0.35
+# Replies of a holder count as evidence of life at most this often, since each one is spread.
+CONTACT_INTERVAL_SECONDS = 0.3
 
 
 class Gateway:
@@ -53,6 +62,7 @@
             detector=settings.detector,
             copies=settings.copies,
             restart=settings.restart,
+            peers=len(settings_module.split_list(settings.peers)),
         )
         self.core = gateway.GatewayCore(core_settings, description, self._rng, clock.now())
         self._inbox = asyncio.Queue()
@@ -60,11 +70,14 @@
         self._span_by_key = {}
         self._reply_by_token = {}
         self._next_token = 0
+        self._next_call = 0
+        self._calls = call_runner.CallRunner(self.core, None, self.core.epochs.holder)
         self._link_by_address = {}
         self._streams = streams.Streams(engine_client.EngineClient(), self.post)
         self._tasks = []
         self._server = None
         self._peer_server = None
+        self._feed = None
         self.cut_by_exit = 0
 
     # Backend of the HTTP application.
@@ -90,7 +103,7 @@
         """Posts a new generation and returns its reader."""
         request_id = request_id or uuid.UUID(int=self._rng.getrandbits(128)).hex
         key = (account, request_id)
-        reader = self._new_reader(key, streamed, "gateway.generate", traceparent)
+        reader = self._new_reader(key, streamed, "gateway.generate", traceparent, is_first_send)
         event = messages.Submit(
             reader.reader_id,
             account,
@@ -118,11 +131,33 @@
         self.post([messages.Cancel(reader.reader_id, account, request_id)])
         return reader
 
-    async def call(self, account, key, service, body, traceparent):
+    async def call(self, account, key, is_first_send, name, body, traceparent):
         """Makes a plain service call and returns its HTTP response."""
-        return callers_app.error_response(
-            codes.Code.SERVICE_UNKNOWN, "Calls are not served by this build."
-        )
+        now = clock.now()
+        failure = self.core.permitted(account, name, "call")
+        if failure is not None:
+            return callers_app.failure_response(failure)
+        service = self.core.service(name)
+        self._next_call += 1
+        call_id = self._next_call
+        failure = self.core.admit_call(account, service, call_id, now)
+        if failure is not None:
+            self.telemetry.count(f"refused.{failure.code.name}")
+            return callers_app.failure_response(failure, is_first_send or not key)
+        span = self.telemetry.span("gateway.call", traceparent, service=name)
+        try:
+            response = await self._calls.run(
+                account, key, service, body, self.telemetry.traceparent(span)
+            )
+            span.set_attribute("outcome", response.code.name)
+        finally:
+            self.core.finish_call(call_id)
+            span.end()
+        self.telemetry.timing("call", clock.now() - now)
+        if response.code is not codes.Code.OK:
+            self.telemetry.count(f"refused.{response.code.name}")
+            return callers_app.error_response(response.code, response.message)
+        return callers_app.raw_response(response.body, response.status)
 
     def status(self) -> dict:
         """Returns what `chiveswitch status` shows."""
@@ -162,8 +197,8 @@
         """Drops a reader that was refused."""
         self._reader_by_id.pop(reader.reader_id, None)
 
-    def _new_reader(self, key, streamed, span_name, traceparent):
-        reader = readers.Reader(key, streamed, self._reader_read, self.reader_left)
+    def _new_reader(self, key, streamed, span_name, traceparent, is_first_send=False):
+        reader = readers.Reader(key, streamed, self._reader_read, self.reader_left, is_first_send)
         self._reader_by_id[reader.reader_id] = reader
         if key not in self._span_by_key:
             self._span_by_key[key] = self.telemetry.span(span_name, traceparent, request=key[1])
@@ -180,7 +215,13 @@
         self._inbox.put_nowait(events)
 
     async def run(self, bundle):
-        """Starts the servers and runs until drained or cancelled."""
+        """Starts the servers and runs until drained or cancelled.
+
+        Args:
+            bundle: Bundle to use without control, or None to ask control.
+        """
+        self._feed = self._new_feed(bundle)
+        self._calls.control = self._feed.client
         host, _, port = self.settings.listen.rpartition(":")
         peer_host, _, peer_port = self.settings.peer_listen.rpartition(":")
         self._peer_server = links.Server(
@@ -193,7 +234,7 @@
         self._server = await serving.start(callers_app.build_app(self), host, int(port))
         log.info("gateway: %s listens on %s", self.settings.gateway_id, self.settings.listen)
         loop = asyncio.get_running_loop()
-        for each in (self._tick(), self._pull(), self._confirm_static_bundle(bundle)):
+        for each in (self._tick(), self._pull(), self._feed.run()):
             self._tasks.append(asyncio.ensure_future(each))
         main = asyncio.ensure_future(self._main())
         drained = loop.create_future()
@@ -213,7 +254,7 @@
                 loop.add_signal_handler(number, on_signal)
         try:
             while not drained.done():
-                if self.core.is_drained(clock.now()):
+                if self.core.is_drained(clock.now()) and not self._calls.open_calls():
                     drained.set_result(True)
                 done, _ = await asyncio.wait(
                     [main, drained], timeout=0.1, return_when=asyncio.FIRST_COMPLETED
@@ -232,6 +273,7 @@
         """Ends all tasks and servers."""
         for task in self._tasks:
             task.cancel()
+        await self._feed.close()
         for link in self._link_by_address.values():
             await link.close()
         self._server.force_exit = True
@@ -262,6 +304,7 @@
             await asyncio.sleep(TICK_SECONDS)
             self.post([messages.Tick()])
             now = clock.now()
+            self._calls.tick(now)
             if now >= heartbeat_at:
                 heartbeat_at = now + readers.HEARTBEAT_SECONDS / 2
                 for reader in list(self._reader_by_id.values()):
@@ -289,11 +332,16 @@
         link = self._link(entry.description.peer_address)
         if link.post(kinds.Kind.JOURNAL, frame, future=future) is None:
             return
-        future.add_done_callback(lambda done: self._journal_replied(holder, done))
+        sent_at = clock.now()
+        future.add_done_callback(lambda done: self._journal_replied(holder, sent_at, done))
 
-    def _journal_replied(self, holder, future):
+    def _journal_replied(self, holder, sent_at, future):
         if future.cancelled() or future.result().is_error():
             return
+        gateway_id, _, incarnation = holder.rpartition(".")
+        # Pulls alone are too rare to tell within 1.2 s that a holder lives.
+        if self.core.directory.age(gateway_id, sent_at) > CONTACT_INTERVAL_SECONDS:
+            self.core.directory.note_contact(gateway_id, int(incarnation), sent_at)
         replies = decode_journal(future.result().ok, holder)
         if replies:
             self.post([messages.JournalReceived(holder, replies)])
@@ -336,7 +384,8 @@
     async def _pull(self):
         seeds = settings_module.split_list(self.settings.peers)
         while True:
-            chosen = self.core.directory.choose_peers(seeds, PULL_PEERS, self._rng)
+            known = seeds + self._feed.peer_addresses
+            chosen = self.core.directory.choose_peers(known, PULL_PEERS, self._rng)
             await asyncio.gather(*(self._pull_from(peer) for peer in chosen))
             self.core.directory.set_own(
                 "ready" if self.core.directory.own.state == "ready" else "draining",
@@ -372,10 +421,12 @@
 
     # Control.
 
-    async def _confirm_static_bundle(self, bundle):
-        while True:
-            self.post([messages.BundleConfirmed(1, bundle, clock.now())])
-            await asyncio.sleep(1.0)
+    def _new_feed(self, bundle):
+        if bundle is not None:
+            return gateway_control.StaticFeed(bundle, self.post)
+        addresses = settings_module.split_list(self.settings.control)
+        client = control_client.ControlClient(addresses)
+        return gateway_control.ControlFeed(client, self.core, self.post)
 
     # Actions.
 
@@ -442,18 +493,16 @@
             span.end()
 
     def _commit_request(self, action):
-        failure = codes.Failure(codes.Code.CONTROL_UNAVAILABLE, "There is no control.")
-        self.post([messages.RequestCommitted(action.key, failure)])
+        self._feed.commit_request(action)
 
     def _find_request(self, action):
-        self.post([messages.RequestFound(action.key, None, 0, None)])
+        self._feed.find_request(action)
 
     def _claim_generation(self, action):
-        failure = codes.Failure(codes.Code.CONTROL_UNAVAILABLE, "There is no control.")
-        self.post([messages.GenerationClaimed(action.key, 0, failure)])
+        self._feed.claim_generation(action)
 
     def _finish_request(self, action):
-        pass
+        self._feed.finish_request(action)
 
 
 def decode_journal(payload: bytes, holder: str) -> list:
@@ -484,11 +533,13 @@
 
 
 async def run(settings, bundle):
-    """Runs a gateway with a bundle that is not confirmed by control."""
+    """Runs a gateway; without control if a bundle is given."""
     await Gateway(settings).run(bundle)
 
 
 def main(settings):
     """Runs the daemon until it is drained."""
-    bundle = bundles.parse(pathlib.Path(settings.bundle_file).read_bytes()).ok
+    bundle = None
+    if settings.bundle_file:
+        bundle = bundles.parse(pathlib.Path(settings.bundle_file).read_bytes()).ok
     asyncio.run(run(settings, bundle))
--- a/chiveswitch/tools/main.py
+++ b/chiveswitch/tools/main.py
@@ -40,9 +40,20 @@
     errors += settings_module.address_error("listen", settings.listen)
     errors += settings_module.address_error("peer-listen", settings.peer_listen)
     errors += settings_module.addresses_errors("peers", settings.peers)
+    errors += settings_module.addresses_errors("control", settings.control)
+    if bool(settings.control) == bool(settings.bundle_file):
+        message = "give either --control or --bundle-file"
+        errors.append(settings_module.setting_failure("control", message))
     start(settings, errors, gateway.main)
 
 
+def run_control(settings: "Control"):
+    """Starts the control daemon."""
+    from chiveswitch.tools import control
+
+    start(settings, control.check(settings), control.main)
+
+
 def run_engine(settings: "Engine"):
     """Starts the stand-in engine."""
     from chiveswitch.tools import standins
@@ -51,9 +62,39 @@
     errors += settings_module.address_error("listen", settings.listen)
     errors += settings_module.addresses_errors("gateways", settings.gateways)
     errors += settings_module.range_error("token-seconds", settings.token_seconds, 0.0005, 10)
+    if settings.weight_store:
+        errors += settings_module.address_error("weight-store", settings.weight_store)
+    errors += settings_module.range_error(
+        "weight-store-rate", settings.weight_store_rate, 0.001, 10_000
+    )
+    if settings.honours_fencing and settings.ignores_fencing:
+        message = "contradicts --honours-fencing"
+        errors.append(settings_module.setting_failure("ignores-fencing", message))
     start(settings, errors, standins.run_engine_main)
 
 
+def run_service(settings: "Service"):
+    """Starts the stand-in plain service."""
+    from chiveswitch.tools import standins
+
+    errors = settings_module.required_error("target-id", settings.target_id)
+    errors += settings_module.required_error("services", settings.services)
+    errors += settings_module.address_error("listen", settings.listen)
+    errors += settings_module.addresses_errors("gateways", settings.gateways)
+    errors += settings_module.range_error("delay-seconds", settings.delay_seconds, 0, 600)
+    start(settings, errors, standins.run_service_main)
+
+
+def run_weight_store(settings: "WeightStore"):
+    """Starts the stand-in weight store."""
+    from chiveswitch.tools import standins
+
+    errors = settings_module.address_error("listen", settings.listen)
+    errors += settings_module.range_error("rate", settings.rate, 0.001, 100_000)
+    errors += settings_module.range_error("burst", settings.burst, 1, 100_000)
+    start(settings, errors, standins.run_weight_store_main)
+
+
 @cappa.command(name="gateway", invoke=run_gateway, help="Run the gateway of an entry VM.")
 @dataclasses.dataclass(slots=True)
 class Gateway:
@@ -66,6 +107,7 @@
         str, option("peer-listen", "Address for other gateways, ip:port.", "127.0.0.1:8500")
     ]
     peers: Annotated[str, option("peers", "Peer addresses of some gateways, comma-separated.", "")]
+    control: Annotated[str, option("control", "Addresses of control, comma-separated.", "")]
     bundle_file: Annotated[str, option("bundle-file", "Bundle to use without control.", "")]
     policy: Annotated[str, option("policy", "Target choice.", "least_loaded")]
     detector: Annotated[str, option("detector", "Failure detector.", "adaptive")]
@@ -77,6 +119,34 @@
     log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
 
 
+@cappa.command(name="control", invoke=run_control, help="Run a control member on a VM with a disk.")
+@dataclasses.dataclass(slots=True)
+class Control:
+    """Settings of a control member."""
+
+    listen: Annotated[
+        str, option("listen", "Address for members and gateways, ip:port.", "127.0.0.1:8600")
+    ]
+    availability_zone: Annotated[str, option("availability-zone", "Zone of this VM.", "")]
+    data_folder: Annotated[str, option("data-folder", "Folder of log and snapshots.", "")]
+    node_id: Annotated[
+        str, option("node-id", "Id of this member; refused if the folder has another.", "")
+    ]
+    first_members: Annotated[
+        str, option("first-members", "First start of a new log only: id=ip:port,...", "")
+    ]
+    join: Annotated[
+        bool, option("join", "Use a new folder for a member that joins a running log.", False)
+    ]
+    operators_file: Annotated[
+        str, option("operators-file", "JSON list of the operators of a new log.", "")
+    ]
+    admin_listen: Annotated[str, option("admin-listen", "Address for operators, ip:port.", "")]
+    trace_file: Annotated[str, option("trace-file", "File for spans, one JSON line each.", "")]
+    statsd: Annotated[str, option("statsd", "Address of a statsd server, ip:port.", "")]
+    log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
+
+
 @cappa.command(name="engine", invoke=run_engine, help="Run a stand-in model engine.")
 @dataclasses.dataclass(slots=True)
 class Engine:
@@ -88,6 +158,42 @@
     availability_zone: Annotated[str, option("availability-zone", "Zone of this VM.", "")]
     models: Annotated[str, option("models", "Ready models, model:adapter:version.", "model::1")]
     token_seconds: Annotated[float, option("token-seconds", "Seconds per token.", 0.03)]
+    weight_store: Annotated[str, option("weight-store", "Weight store's address, ip:port.", "")]
+    weight_store_rate: Annotated[
+        float, option("weight-store-rate", "Fetches per second of this engine.", 1.0)
+    ]
+    honours_fencing: Annotated[
+        bool, option("honours-fencing", "Refuse orders with an old fence (default).", False)
+    ]
+    ignores_fencing: Annotated[
+        bool, option("ignores-fencing", "Execute orders whatever their fence is.", False)
+    ]
+    log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
+
+
+@cappa.command(name="service", invoke=run_service, help="Run a stand-in plain service.")
+@dataclasses.dataclass(slots=True)
+class Service:
+    """Settings of the stand-in plain service."""
+
+    target_id: Annotated[str, option("target-id", "Name of this service's target.", "")]
+    listen: Annotated[str, option("listen", "Address, ip:port.", "127.0.0.1:9200")]
+    gateways: Annotated[str, option("gateways", "Gateway addresses, comma-separated.", "")]
+    availability_zone: Annotated[str, option("availability-zone", "Zone of this VM.", "")]
+    services: Annotated[str, option("services", "Service names, comma-separated.", "")]
+    delay_seconds: Annotated[float, option("delay-seconds", "Seconds that a call takes.", 0.01)]
+    ledger_file: Annotated[str, option("ledger-file", "File with one line for each run.", "")]
+    log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
+
+
+@cappa.command(name="weight-store", invoke=run_weight_store, help="Run a stand-in weight store.")
+@dataclasses.dataclass(slots=True)
+class WeightStore:
+    """Settings of the stand-in weight store."""
+
+    listen: Annotated[str, option("listen", "Address, ip:port.", "127.0.0.1:9300")]
+    rate: Annotated[float, option("rate", "Fetches per second.", 1.0)]
+    burst: Annotated[float, option("burst", "Fetches that may come at once.", 2.0)]
     log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
 
 
@@ -96,7 +202,9 @@
 class Chiveswitch:
     """The command line."""
 
-    command: cappa.Subcommands[Gateway | Engine | measure_settings.Measure]
+    command: cappa.Subcommands[
+        Gateway | Control | Engine | Service | WeightStore | measure_settings.Measure
+    ]
 
 
 def main():
