--- a/chiveswitch/core/gateway.py
+++ b/chiveswitch/core/gateway.py
@@ -122,16 +122,18 @@
 
     Attributes:
         submits: The `Submit` events that wait, the first of which made the entry.
-        service: `bundles.Service`.
+        service: `bundles.Service`, or None while control is asked for a request without journal.
         pinned: Set once the request left the queue.
+        failure: The takeover's `codes.Failure` if control is asked, else None.
     """
 
-    __slots__ = ("submits", "service", "pinned")
+    __slots__ = ("submits", "service", "pinned", "failure")
 
-    def __init__(self, submit, service):
-        self.submits = [submit]
+    def __init__(self, submits, service, failure=None):
+        self.submits = submits
         self.service = service
         self.pinned = None
+        self.failure = failure
 
 
 class _Takeover:
@@ -330,7 +332,7 @@
             failure = result.error
             actions.append(messages.ReaderFail(event.reader, failure.code, failure.message))
             return
-        self._waiting_by_key[key] = _Waiting(event, service)
+        self._waiting_by_key[key] = _Waiting([event], service)
         self._pump(pool, now, actions)
 
     def _pool(self, service):
@@ -478,6 +480,9 @@
             waiting.submits = [each for each in waiting.submits if each.reader != reader]
             if waiting.submits or waiting.pinned is not None:
                 continue
+            # An entry without a service waits for control, whose answer removes it.
+            if waiting.service is None:
+                continue
             if waiting.service.on_absence == generation.ABSENCE_CANCEL:
                 self._pool(waiting.service).cancel(key)
                 del self._waiting_by_key[key]
@@ -590,9 +595,7 @@
         durable = any(self._service_by_name[event.service].durable for event in submits)
         if durable or others or not pending.waiting:
             # Control may hold the request although no journal was found.
-            self._waiting_by_key[key] = waiting = _Waiting(None, None)
-            waiting.submits = pending.waiting
-            waiting.service = failure
+            self._waiting_by_key[key] = _Waiting(pending.waiting, None, failure)
             actions.append(messages.FindRequest(key))
             return
         if failure.code is codes.Code.REQUEST_UNKNOWN:
@@ -618,7 +621,7 @@
             waiting.pinned = event.header
             actions.append(messages.ClaimGeneration(event.key, event.generation))
             return
-        failure = event.failure or waiting.service
+        failure = event.failure or waiting.failure
         if event.failure is None and failure.code is codes.Code.REQUEST_UNKNOWN:
             submits = [each for each in waiting.submits if type(each) is messages.Submit]
             if submits:
--- a/chiveswitch/core/gateway_test.py
+++ b/chiveswitch/core/gateway_test.py
@@ -2,7 +2,7 @@
 
 import random
 
-from chiveswitch.core import bundles, codes, directory, gateway
+from chiveswitch.core import bundles, codes, directory, gateway, generation_messages
 from chiveswitch.core import gateway_messages as messages
 from chiveswitch.tools import sample
 
@@ -43,3 +43,17 @@
     assert core.serial == 2
     assert core.bundle.version == 2
     assert core.refusal(9.1).code is codes.Code.BUNDLE_STALE
+
+
+def test_caller_that_leaves_while_control_is_asked_stops_nothing():
+    # Guards against a gateway that ended with an AttributeError when a caller left between a
+    # takeover without a journal and the answer of control.
+    core = new_core(peers=1)
+    key = ("field", "request")
+    actions = core.handle(messages.Attach(1, *key, "", None, 0, True), 0.1)
+    actions += core.handle(messages.Tick(), 2.0)
+    assert [action.key for action in actions if type(action) is messages.FindRequest] == [key]
+    left = messages.FromReader(("field", "other"), generation_messages.ReaderLeft(9))
+    core.handle(left, 2.1)
+    core.handle(messages.FromReader(key, generation_messages.ReaderLeft(1)), 2.1)
+    assert core.handle(messages.RequestFound(key, None, 0, None), 2.2) == []
