--- a/chiveswitch/targets/streams.py
+++ b/chiveswitch/targets/streams.py
@@ -1,6 +1,7 @@
 """Streams of attempts: one task per open attempt reads its engine and posts what it brought."""
 
 import asyncio
+import functools
 import logging
 
 import orjson
@@ -32,12 +33,14 @@
 
     def open(self, action, traceparent: str = ""):
         """Executes `gateway_messages.OpenStream`."""
-        opening = self.client.start(action.address, action.body, traceparent)
+        opening = functools.partial(self.client.start, action.address, action.body, traceparent)
         self._start(action.key, action.attempt, 0, opening)
 
     def reattach(self, action):
         """Executes `gateway_messages.ReattachStream`."""
-        opening = self.client.reattach(action.address, action.attempt_id, action.offset)
+        opening = functools.partial(
+            self.client.reattach, action.address, action.attempt_id, action.offset
+        )
         self._start(action.key, action.attempt, action.link, opening)
 
     def cancel(self, action):
@@ -54,6 +57,8 @@
             task.cancel()
 
     def _start(self, key, attempt, link, opening):
+        # `opening` is a function, since the coroutine of a task that is cancelled before its first
+        # step would never be awaited.
         self.close(key, attempt)
         task = asyncio.ensure_future(self._read(key, attempt, link, opening))
         self._task_by_attempt[key, attempt] = task
@@ -74,7 +79,7 @@
     async def _read(self, key, attempt, link, opening):
         kinds = generation_messages.Kind
         try:
-            stream = await opening
+            stream = await opening()
         except (ConnectionRefusedError, exceptions.ConnectTimeout):
             self._fail(key, attempt, link, kinds.CONNECTION_REFUSED)
             return
