Batch the gateway's events over 2 ms

Engines step at different moments, so that almost every token had a wake-up, a frame to each holder and a write of its own.

--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -27,6 +27,8 @@
 log = logging.getLogger("chiveswitch.gateway")
 
 TICK_SECONDS = 0.025
+# Least time between two batches, which bounds the delay that batching adds to a token.
+BATCH_SECONDS = 0.002
 PULL_INTERVAL_SECONDS = 0.4
 PULL_PEERS = 2
 PULL_TIMEOUT_SECONDS = 0.35
@@ -282,8 +284,15 @@
         self.telemetry.close()
 
     async def _main(self):
+        next_batch_at = 0.0
         while True:
             events = await self._inbox.get()
+            # Engines step at different moments. Waiting a little lets one batch, with its frames
+            # and writes, carry the tokens of several of them.
+            pause = next_batch_at - clock.now()
+            if pause > 0:
+                await asyncio.sleep(pause)
+            next_batch_at = clock.now() + BATCH_SECONDS
             # Everything that is waiting is handled as one batch, with one frame per holder.
             while not self._inbox.empty():
                 events = events + self._inbox.get_nowait()
