--- a/chiveswitch/tools/measure_system.py
+++ b/chiveswitch/tools/measure_system.py
@@ -120,6 +120,10 @@
         for part in self.part_by_name.values():
             part.cpu_before = self.cpu_seconds(part)
 
+    def runs(self, part: Part) -> bool:
+        """Returns whether a part's process has not ended."""
+        return self.fleet.process_by_name[part.name].poll() is None
+
     def cpu_seconds(self, part: Part) -> float:
         """Returns the CPU seconds of a part's current life."""
         times = psutil.Process(self.fleet.process_by_name[part.name].pid).cpu_times()
@@ -127,6 +131,10 @@
 
     async def take_use(self, part: Part):
         """Adds the figures of a part's current life to `part.use`."""
+        if not self.runs(part):
+            # The process ended by a fault of its own; the report names it.
+            part.use["crashes"] = part.use.get("crashes", 0) + 1
+            return
         process = psutil.Process(self.fleet.process_by_name[part.name].pid)
         part.memory = max(part.memory, process.memory_info().rss)
         figures = {"cpu_seconds": self.cpu_seconds(part) - part.cpu_before}
