--- a/chiveswitch/tools/measure.py
+++ b/chiveswitch/tools/measure.py
@@ -128,11 +128,14 @@
     """
     folder = pathlib.Path(settings.results)
     names = settings_module.split_list(settings.compare)
-    rounds_by_setting = {name: [] for name in names}
+    rounds_by_setting = {}
     for number in range(settings.rounds):
         for name in names:
             figures = await run_round(settings, name, number, folder / "logs")
-            rounds_by_setting[name].append(figures)
+            rounds_by_setting.setdefault(name, []).append(figures)
+            # A long run that fails later keeps what it has measured.
+            summary = measure_report.summarise(rounds_by_setting, settings)
+            measure_report.write(folder, summary, rounds_by_setting)
             print(
                 f"measure: {name} round {number}: {figures['complete']} of "
                 f"{figures['generations']} complete, token errors {figures['token_errors']}",
@@ -156,6 +159,5 @@
         return measure_scaling.main(settings, folder)
     rounds_by_setting = asyncio.run(run(settings))
     summary = measure_report.summarise(rounds_by_setting, settings)
-    measure_report.write(folder, summary, rounds_by_setting)
     print(measure_report.markdown(summary))
     return int(any(figures["token_errors"] for figures in summary["settings"].values()))
--- a/chiveswitch/tools/measure_load.py
+++ b/chiveswitch/tools/measure_load.py
@@ -263,4 +263,4 @@
 
 async def _restore(system, part, kind, hold):
     await asyncio.sleep(hold)
-    system.restore(part, kind)
+    await system.restore(part, kind)
--- a/chiveswitch/tools/measure_system.py
+++ b/chiveswitch/tools/measure_system.py
@@ -162,14 +162,21 @@
             return
         self.fleet.signal(part.name, signal.SIGSTOP)
 
-    def restore(self, part: Part, kind: str):
-        """Starts a killed process again, or continues a paused one."""
+    async def restore(self, part: Part, kind: str):
+        """Starts a killed process again, or continues a paused one, until it answers."""
         if kind == "kill":
             self.fleet.start(part.name, *part.arguments)
             part.cpu_before = 0.0
         elif kind == "pause":
             self.fleet.signal(part.name, signal.SIGCONT)
-        part.up = True
+        limit = clock.now() + START_TIMEOUT_SECONDS
+        while not part.up and clock.now() < limit:
+            try:
+                await self.get(part, "/v1/status")
+                part.up = True
+            # The process may not listen yet; any failure means to ask again.
+            except Exception:
+                await asyncio.sleep(0.1)
 
     async def close(self):
         """Ends all processes."""
