--- a/chiveswitch/tools/main.py
+++ b/chiveswitch/tools/main.py
@@ -8,7 +8,7 @@
 import cappa
 
 from chiveswitch.core import settings as settings_module
-from chiveswitch.tools import operator_commands, options
+from chiveswitch.tools import measure_settings, operator_commands, options
 
 option = options.option
 
@@ -232,6 +232,7 @@
         | Service
         | WeightStore
         | Demo
+        | measure_settings.Measure
     ]
 
 
