--- a/chiveswitch/core/orders_test.py
+++ b/chiveswitch/core/orders_test.py
@@ -127,3 +127,26 @@
     leaving = orders.EngineReport("e1", (), "mixed", False, True, None, (), 0.3)
     bench.planner.handle(leaving, 11.1)
     assert bench.tick(11.2) == []
+
+
+def test_leader_that_leads_again_starts_with_an_empty_budget():
+    # Guards against spending tokens that the leader in between has spent.
+    bench = Bench(per_second=0.05)
+    bench.report(60.0)
+    assert bench.tick(60.0) == [orders.RequestFence("e1")]
+    assert bench.planner.budget.tokens == 2.0
+    bench.planner.handle(orders.LeadershipLost(), 100.0)
+    bench.planner.handle(orders.LeadershipGained(104.0), 100.0)
+    bench.report(110.5)
+    assert bench.tick(110.5) == []
+    bench.report(121.0)
+    assert bench.tick(121.0) == [orders.RequestFence("e1")]
+
+
+def test_report_that_is_older_than_the_last_read_back_is_not_used():
+    # Guards against a second load after an announcement that took long to get here.
+    bench = Bench()
+    bench.report(11.0, loaded=LOAD)
+    late = orders.EngineReport("e1", (), "mixed", True, True, None, (), 1.5)
+    bench.planner.handle(late, 11.1)
+    assert bench.tick(11.1) == []
