--- a/chiveswitch/peers/control_client.py
+++ b/chiveswitch/peers/control_client.py
@@ -92,12 +92,13 @@
         found = list(self._link_by_address.values())
         return sum(link.bytes_out for link in found), sum(link.bytes_in for link in found)
 
-    async def propose(self, record, deadline: float) -> expression.Result:
+    async def propose(self, record, deadline: float, trace: str = "") -> expression.Result:
         """Has a command applied.
 
         Args:
             record: A command struct of `control_state.control_thrift`.
             deadline: Time until which to try, in seconds of CLOCK_BOOTTIME.
+            trace: Trace context to pass on.
 
         Returns:
             The command's own result: Ok with an Answer or its refusal. CONTROL_UNAVAILABLE if it
@@ -105,7 +106,8 @@
             still be, applied.
         """
         payload = strict.encode(rpc.Propose(command=control_state.encode(record, 0)))
-        asked = await self._ask(kinds.Kind.CONTROL_PROPOSE, payload, rpc.ProposeAnswer, deadline)
+        kind = kinds.Kind.CONTROL_PROPOSE
+        asked = await self._ask(kind, payload, rpc.ProposeAnswer, deadline, trace)
         if asked.is_error():
             return asked
         return control_state.decode_result(asked.ok[1].answer)
@@ -138,7 +140,7 @@
         found = await self.find_request("", "", deadline)
         return found.map(lambda answer: answer.status)
 
-    async def _ask(self, kind, payload, answer_class, deadline) -> expression.Result:
+    async def _ask(self, kind, payload, answer_class, deadline, trace="") -> expression.Result:
         """Asks until a leader answers; Ok holds the time before the attempt and its answer."""
         sent = False
         reason = "no member answered"
@@ -155,7 +157,7 @@
                 continue
             asked_at = self._now()
             timeout = min(ATTEMPT_SECONDS, max(0.0, deadline - asked_at))
-            result = await link.call(kind, payload, timeout)
+            result = await link.call(kind, payload, timeout, trace)
             if result.is_ok():
                 result = strict.decode(answer_class, result.ok)
             elif result.error.code not in (codes.Code.LINK_CLOSED, codes.Code.LINK_TIMEOUT):
--- a/chiveswitch/peers/control_server.py
+++ b/chiveswitch/peers/control_server.py
@@ -14,7 +14,7 @@
 import expression
 import orjson
 
-from chiveswitch.core import clock, codes, consensus, control_state, leases
+from chiveswitch.core import clock, codes, consensus, control_state, leases, telemetry
 from chiveswitch.core import consensus_messages as messages
 from chiveswitch.peers import consensus_codec, kinds, links, strict
 
@@ -46,7 +46,7 @@
         limits: control_state.Limits | None = None,
         settings: consensus.Settings | None = None,
         rng: random.Random | None = None,
-        telemetry=None,
+        instruments: telemetry.Telemetry | None = None,
     ):
         """Takes over an open data folder; must be called inside a running event loop.
 
@@ -58,7 +58,7 @@
             limits: Limits of the control state, equal on all members.
             settings: Settings of the node, equal on all members.
             rng: Source of the election timeouts.
-            telemetry: `telemetry.Telemetry`, or None.
+            instruments: Receives spans of proposals and counters; None for none.
         """
         self.address = address
         self.leases = None
@@ -66,7 +66,7 @@
         self._folder = folder
         self._operators = operators or []
         self._limits = limits or control_state.Limits()
-        self._telemetry = telemetry
+        self._telemetry = instruments or telemetry.Telemetry("control", folder.node_id)
         self._now = clock.now
         stored = folder.stored
         self.state = self._restored(stored.snapshot.data)
@@ -291,7 +291,9 @@
         role, leader_id = action.role, action.leader_id
         log.info("control: %s in term %s, leader %s", role.value, action.term, leader_id)
         self.leases = None
+        self._telemetry.gauge("term", action.term)
         if action.role == consensus.Role.LEADER:
+            self._telemetry.count("elections_won")
             self.leases = leases.Leases(self._now())
             if self._operators:
                 self._spawn(self._bootstrap())
@@ -370,14 +372,20 @@
             self._post(messages.Received(sender, message))
         return expression.Ok(b"")
 
-    async def _serve_propose(self, payload, _trace):
+    async def _serve_propose(self, payload, trace):
         decoded = strict.decode(rpc.Propose, payload)
         if decoded.is_error():
             return decoded
         command = control_state.decode(decoded.ok.command)
         if command.is_error():
             return command
-        applied, result = await self._propose(command.ok[0])
+        record = command.ok[0]
+        span = self._telemetry.span("control.propose", trace, command=type(record).__name__)
+        applied, result = await self._propose(record)
+        outcome = result.ok.kind if result.is_ok() else result.error.code.name
+        span.set_attribute("outcome", outcome)
+        span.end()
+        self._telemetry.count(f"proposals.{outcome}")
         # A refusal by the state is an answer; one by the log says nothing about earlier copies.
         code, message, answer = codes.Code.OK, "", b""
         if applied:
@@ -418,6 +426,7 @@
             answer.code = int(codes.Code.NOT_LEADER)
             answer.message = "This member is not the leader."
             return expression.Ok(strict.encode(answer))
+        self._telemetry.count("heartbeats")
         self.leases.hear(
             leases.Lease(
                 asked.gateway_id,
--- a/chiveswitch/tools/control.py
+++ b/chiveswitch/tools/control.py
@@ -140,7 +140,9 @@
         "control", folder.node_id, settings.trace_file, settings.statsd
     )
     operators = read_operators(settings.operators_file).ok
-    server = control_server.ControlServer(settings.listen, folder, operators, telemetry=instrument)
+    server = control_server.ControlServer(
+        settings.listen, folder, operators, instruments=instrument
+    )
     admin = None
     stopped = asyncio.get_running_loop().create_future()
 
