--- a/chiveswitch/tools/measure_settings.py
+++ b/chiveswitch/tools/measure_settings.py
@@ -68,7 +68,6 @@
     ]
     interval: Annotated[float, options.option("interval", "Seconds between faults.", 5.0)]
     hold: Annotated[float, options.option("hold", "Seconds until a failed process returns.", 3.0)]
-    calls: Annotated[bool, options.option("calls", "Also make plain service calls.", False)]
     streams_per_core: Annotated[
         bool, options.option("streams-per-core", "Measure one gateway at rising load.", False)
     ]
