--- a/chiveswitch/tools/measure_scaling.py
+++ b/chiveswitch/tools/measure_scaling.py
@@ -148,10 +148,14 @@
 def fits(levels: list) -> dict:
     """Returns linear fits of CPU and memory against streams, as slope and intercept.
 
-    Only levels at which the gateway was not saturated count, since a saturated process drops
-    behind instead of using more CPU.
+    Only levels at which the gateway kept up with the engines count: a process that is saturated,
+    or that gets no core on a busy machine, drops behind instead of using more CPU.
     """
-    usable = [level for level in levels if level["cpu_share"] < 0.9]
+    usable = []
+    for level in levels:
+        interval = level["between_tokens_direct"].get("p50", 0)
+        if level["tokens_per_second"] * interval >= 0.9 * level["streams"]:
+            usable.append(level)
     if len(usable) < 2:
         return {}
     streams = [level["streams"] for level in usable]
