--- a/chiveswitch/tools/measure_scaling.py
+++ b/chiveswitch/tools/measure_scaling.py
@@ -21,6 +21,8 @@
 # Drivers start and open their streams in this time before the measured window.
 LEAD_SECONDS = 8.0
 TOP_COSTS = 10
+# Functions of the interpreter's start, and the wait for events.
+NOT_PER_TOKEN = ("poll", "builtins.compile", "builtins.exec", "marshal", "__build_class__")
 
 
 async def run_level(settings, streams: int, folder: pathlib.Path) -> dict:
@@ -128,21 +130,32 @@
     await asyncio.to_thread(process.wait, 20)
 
 
-def top_costs(profile: str, tokens: float) -> list:
-    """Returns the costliest functions of a profile by their own time.
+def top_costs(profile: str) -> list:
+    """Returns the costliest functions of a profile by their own time, without start and waiting.
+
+    cProfile counts wall time, so that times on a busy machine include the wait for a core.
 
     Args:
         profile: File of cProfile.
-        tokens: Tokens that passed while it was taken.
     Returns:
-        List of (function, calls per token, microseconds per token).
+        List of (function, calls, microseconds), each for one event that an engine sent, which
+        holds one token or little more.
     """
     stats = pstats.Stats(profile).stats
-    rows = sorted(stats.items(), key=lambda item: -item[1][2])[: TOP_COSTS + 2]
-    return [
-        (f"{'/'.join(path.split('/')[-2:])}:{line} {name}", calls / tokens, 1e6 * own / tokens)
-        for (path, line, name), (_, calls, own, _, _) in rows
-    ]
+    events = sum(
+        calls
+        for (path, _, name), (_, calls, _, _, _) in stats.items()
+        if path.endswith("core/sse.py") and name == "_parse"
+    )
+    rows = []
+    for (path, line, name), (_, calls, own, _, _) in sorted(
+        stats.items(), key=lambda item: -item[1][2]
+    ):
+        if any(part in name for part in NOT_PER_TOKEN):
+            continue
+        place = f"{'/'.join(path.split('/')[-2:])}:{line} {name}" if line else name
+        rows.append((place, calls / events, 1e6 * own / events))
+    return rows[:TOP_COSTS]
 
 
 def fits(levels: list) -> dict:
@@ -213,7 +226,7 @@
         rows = [
             [f"`{name}`", f"{calls:.2f}", f"{cost:.1f}"] for name, calls, cost in result["costs"]
         ]
-        parts.append(measure_report.table(["function", "calls/token", "own us/token"], rows))
+        parts.append(measure_report.table(["function", "calls/event", "own us/event"], rows))
     return "\n\n".join(parts) + "\n"
 
 
@@ -236,8 +249,7 @@
     levels = asyncio.run(run(settings, folder))
     costs = []
     if settings.profile:
-        seconds = settings.seconds + LEAD_SECONDS - RAMP_SECONDS / 2
-        costs = top_costs(settings.profile, levels[-1]["tokens_per_second"] * seconds)
+        costs = top_costs(settings.profile)
     result = {
         "environment": measure_report.environment(),
         "command": dataclasses.asdict(settings),
