--- a/chiveswitch/tools/measure_scaling.py
+++ b/chiveswitch/tools/measure_scaling.py
@@ -182,7 +182,7 @@
         "cpu_share_idle": intercept,
         "memory_per_stream": memory_slope,
         "memory_idle": memory_intercept,
-        "streams_per_core": (1 - intercept) / slope if slope > 0 else None,
+        "streams_per_core": (1 - intercept) / slope if slope > 0 else 0,
     }
 
 
