--- a/features/fakes.py
+++ b/features/fakes.py
@@ -57,6 +57,7 @@
         disturbed: End of a disturbance by (host name, kind): `late`, `crossed`, `repeated`.
         on_step: Function (step name, host) that is told every step, or None.
         host: The host whose code runs at present.
+        wakeup: Number of the latest call of a decision machine.
         after: Least virtual seconds that a run of the matrix lasts beyond its last response.
         encodes: Whether journal messages pass through their codec, which takes a third of a run.
     """
@@ -72,6 +73,7 @@
         self.serials = []
         self.violations = []
         self.killed = []
+        self.wakeup = 0
         self.after = 0.0
         self.executions = []
         self.attempts = []
@@ -393,6 +395,7 @@
 
     def give(self, event):
         """Lets the core handle an event and executes the actions, as one wake-up of the daemon."""
+        self.world.wakeup += 1
         self.execute(collections.deque(self.core.handle(event, self.world.now)), self.world.now)
 
     def execute(self, actions, decided_at):
@@ -913,6 +916,7 @@
         self._target = None
 
     def give(self, event):
+        self.world.wakeup += 1
         actions = collections.deque(self.machine.handle(event, self.world.now))
         self.world.step(f"call:{type(self.machine).__name__}.{self.machine.state}")
         self._execute(actions)
--- a/features/faults.py
+++ b/features/faults.py
@@ -304,7 +304,7 @@
     """One run of a path with faults.
 
     Attributes:
-        reached: Names of the steps in the order in which they were first reached.
+        reached: Point of the first time by step name, in order; equal for steps of one wake-up.
         faults: List of (step, fault name) that were injected.
         violations: Sentences of the oracle.
         incomplete: Callers that got no complete response.
@@ -318,7 +318,9 @@
         waiting = list(faults)
 
         def on_step(name, host):
-            self.reached.setdefault(name, None)
+            # Steps of one call strike at the same point: before any of its actions leaves.
+            point = name if name.startswith("action:") else world.wakeup
+            self.reached.setdefault(name, point)
             # A second fault strikes only after the first, at the next time its step is reached.
             if waiting and waiting[0][0] == name:
                 step, fault_name = waiting.pop(0)
@@ -343,9 +345,6 @@
         ready = [e for e in world.engines if e.state == "up" and e.target_state == "ready"]
         self.is_excused = not ready or (path_name != "durable" and len(lost) > 1)
 
-    def step_names(self):
-        return list(self.reached)
-
 
 def is_answered(caller) -> bool:
     """Returns whether a caller got all that the path permits."""
