--- a/features/fault_matrix_test.py
+++ b/features/fault_matrix_test.py
@@ -254,6 +254,20 @@
     assert not run.violations and not run.incomplete
 
 
+def test_event_id_of_another_answer_continues_nothing():
+    """Guards against tokens joined to those of another answer with the same generation number."""
+    world = fakes.World(6, encodes=False)
+    first = fakes.Caller(world, "report", "a prompt", 60)
+    first.connect()
+    world.run(0.5)
+    second = fakes.Caller(world, "report", "a prompt", 60)
+    second.request_id, second.next_gateway = first.request_id, first.gateway
+    second.name_of_answer, second.tokens, second._posted = "1.ffff", ["x "] * 6, True
+    second.connect()
+    world.run(10.0, until=lambda: second.finished)
+    assert second.complete and not oracle.judge(world)
+
+
 def test_minority_of_a_lost_journal_does_not_block_the_next_generation():
     """Guards against a durable request that cannot run again because one old copy is left."""
     strikes = (("gateway:BundleConfirmed", "kill"), ("holder:Tick", "kill"))
