--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -294,8 +294,9 @@
                 await asyncio.sleep(pause)
             next_batch_at = clock.now() + BATCH_SECONDS
             # Everything that is waiting is handled as one batch, with one frame per holder.
+            events = list(events)
             while not self._inbox.empty():
-                events = events + self._inbox.get_nowait()
+                events.extend(self._inbox.get_nowait())
             now = clock.now()
             appends_by_holder = {}
             for event in events:
