--- a/chiveswitch/callers/call_runner_test.py
+++ b/chiveswitch/callers/call_runner_test.py
@@ -6,7 +6,15 @@
 import pytest
 
 from chiveswitch.callers import call_runner
-from chiveswitch.core import bundles, clock, codes, control_state, directory, gateway
+from chiveswitch.core import (
+    bundles,
+    clock,
+    codes,
+    control_state,
+    directory,
+    gateway,
+    gateway_settings,
+)
 from chiveswitch.core import gateway_messages as messages
 from chiveswitch.targets import standin_service
 from chiveswitch.tools import processes, sample, serving
@@ -36,7 +44,9 @@
     def __init__(self):
         now = clock.now()
         own = directory.Description("g1", "gateway", "zone-a", "127.0.0.1:1", 1)
-        self.core = gateway.GatewayCore(gateway.GatewaySettings(), own, random.Random(1), now)
+        self.core = gateway.GatewayCore(
+            gateway_settings.GatewaySettings(), own, random.Random(1), now
+        )
         bundle = bundles.parse(sample.sample_bundle()).ok
         self.core.handle(messages.BundleConfirmed(1, bundle, now), now)
         self.control = FakeControl()
--- a/chiveswitch/core/gateway.py
+++ b/chiveswitch/core/gateway.py
@@ -20,21 +20,11 @@
     requests,
     retry,
     selection,
+    takeovers,
 )
 from chiveswitch.core import gateway_messages as messages
 
-# A bundle counts as confirmed for this long after control was asked, so that a new bundle is in
-# force everywhere within 6 s, a missed heartbeat and a new leader's election included.
-LEASE_S = 4.0
-# A gateway unheard for this long is replaced as a holder. Two pulls of two random peers each may
-# miss it, so the limit is three pull intervals of 0.4 s.
-SUSPECT_S = 1.2
-# Orphaned journals are taken over only after callers had the time to reconnect by themselves.
-ORPHAN_S = directory.STALE_S
 SCAN_INTERVAL_S = 0.25
-ADOPT_RETRY_S = 2.0
-# Up to this number of gateways a lookup asks all of them.
-SMALL_SYSTEM = 16
 DRAIN_ACCEPT_S = 12.5
 # For this long after its start a gateway waits to know enough others to hold its journals. Later
 # it works with those that are there, since the others may be dead.
@@ -46,64 +36,6 @@
 ZONE_LOSS_MEMORY_S = 5.0
 
 
-class GatewaySettings:
-    """Settings of the decisions.
-
-    Attributes:
-        lease_s: Seconds for which a confirmed bundle admits new work.
-        suspect_s: Seconds after which an unheard gateway is replaced as a holder.
-        policy: Name of the target choice in `selection.POLICY_BY_NAME`.
-        detector: Name of the detector in `detector.DETECTOR_BY_NAME`.
-        copies: Copies of each journal, or 0 for the service's setting; 1 is a baseline.
-        restart: Baseline: failed generations start again instead of continuing.
-        max_open: Open generations at most, which bounds memory.
-        peers: Number of gateways that the settings name, the own one included.
-        store: `journal.StoreSettings`.
-        replication: `replication.Settings`.
-        admission: `admission.AdmissionSettings`.
-        retry: `retry.RetrySettings`.
-    """
-
-    __slots__ = (
-        "lease_s",
-        "suspect_s",
-        "policy",
-        "detector",
-        "copies",
-        "restart",
-        "max_open",
-        "peers",
-        "store",
-        "replication",
-        "admission",
-        "retry",
-    )
-
-    def __init__(
-        self,
-        lease_s=LEASE_S,
-        suspect_s=SUSPECT_S,
-        policy="least_loaded",
-        detector="adaptive",
-        copies=0,
-        restart=False,
-        max_open=5000,
-        peers=0,
-    ):
-        self.lease_s = lease_s
-        self.suspect_s = suspect_s
-        self.policy = policy
-        self.detector = detector
-        self.copies = copies
-        self.restart = restart
-        self.max_open = max_open
-        self.peers = peers
-        self.store = journal.StoreSettings()
-        self.replication = replication.Settings()
-        self.admission = admission.AdmissionSettings()
-        self.retry = retry.RetrySettings()
-
-
 class _Budget:
     """The retry budget in the form that the generation machine asks for."""
 
@@ -118,39 +50,20 @@
 
 
 class _Waiting:
-    """A submitted request that is in the queue or waits for control.
+    """A submitted request that is in the queue or waits until control has committed it.
 
     Attributes:
         submits: The `Submit` events that wait, the first of which made the entry.
-        service: `bundles.Service`, or None while control is asked for a request without journal.
+        service: `bundles.Service`.
         pinned: Set once the request left the queue.
-        failure: The takeover's `codes.Failure` if control is asked, else None.
-        replaced: Highest epoch counter of the lost journal that this request had, or 0.
     """
 
-    __slots__ = ("submits", "service", "pinned", "failure", "replaced")
+    __slots__ = ("submits", "service", "pinned")
 
-    def __init__(self, submits, service, failure=None):
+    def __init__(self, submits, service):
         self.submits = submits
         self.service = service
         self.pinned = None
-        self.failure = failure
-        self.replaced = 0
-
-
-class _Takeover:
-    """A takeover in progress with the callers that wait for it.
-
-    Attributes:
-        takeover: `replication.Takeover`.
-        waiting: `Submit`, `Attach` and `Cancel` events.
-    """
-
-    __slots__ = ("takeover", "waiting")
-
-    def __init__(self, takeover):
-        self.takeover = takeover
-        self.waiting = []
 
 
 class GatewayCore:
@@ -180,7 +93,7 @@
         self._service_by_name = {}
         self._account_by_digest = {}
         self._waiting_by_key = {}
-        self._takeover_by_key = {}
+        self._takeovers = takeovers.Takeovers(self, rng)
         self._pool_by_model = {}
         self._ledger_by_service = {}
         self._retry = retry.RetryBudget(settings.retry, now)
@@ -190,7 +103,6 @@
         self._scan_at = now
         self._live = ()
         self._live_gateways = ()
-        self._adopt_at_by_key = {}
         self._drain_at = None
         self._lost_zone_at = {}
         self._usable_zone_by_target = {}
@@ -255,7 +167,7 @@
         for request in self.open_by_key.values():
             if request.machine.outcome is None or request.machine.has_readers():
                 return False
-        if self._waiting_by_key or self._takeover_by_key:
+        if self._waiting_by_key or self._takeovers.is_busy():
             return False
         held = any(entry.accepted[1] != self.epochs.holder for entry in self.store.by_key.values())
         return not held or now >= self._drain_at + DRAIN_ACCEPT_S + DRAIN_JOURNALS_S
@@ -289,7 +201,8 @@
         )
         pool.set_live_gateways(max(1, len(self._live)))
 
-    def _submit(self, event, now, actions):
+    def submit(self, event, now, actions):
+        """Handles a caller's new generation."""
         key = (event.account, event.request_id)
         failure = self.permitted(event.account, event.service, "generation")
         if failure is None:
@@ -302,20 +215,20 @@
             actions.append(messages.ReaderFail(event.reader, failure.code, failure.message))
             return
         if key in self.open_by_key:
-            self._join(self.open_by_key[key], event, now, actions)
+            self.join(self.open_by_key[key], event, now, actions)
             return
         if key in self._waiting_by_key:
             self._waiting_by_key[key].submits.append(event)
             return
-        if key in self._takeover_by_key:
-            self._takeover_by_key[key].waiting.append(event)
+        if self._takeovers.wait(key, event):
             return
         if not event.is_first_send:
-            self._take_over(key, event, now, actions)
+            self._takeovers.begin(key, event, now, actions)
             return
-        self._enqueue(event, now, actions)
+        self.enqueue(event, now, actions)
 
-    def _enqueue(self, event, now, actions):
+    def enqueue(self, event, now, actions):
+        """Puts a submitted request in the queue, or refuses it."""
         failure = self.refusal(now)
         if failure is None and len(self.open_by_key) >= self.settings.max_open:
             failure = codes.Failure(codes.Code.QUEUE_FULL, "Too many generations are open.")
@@ -389,38 +302,55 @@
             return
         del self._waiting_by_key[event.key]
         self._finish_admission(event.key, waiting.pinned)
-        for submit in waiting.submits:
-            actions.append(
-                messages.ReaderFail(submit.reader, event.failure.code, event.failure.message)
-            )
+        takeovers.fail_waiting(waiting.submits, event.failure, actions)
 
     def _open_admitted(self, key, now, actions):
         waiting = self._waiting_by_key.pop(key)
         pinned = waiting.pinned
+        machine = generation.Generation(pinned.header, *self.machine_parts(pinned))
+        self.open_new(key, pinned, machine, waiting.submits, now, actions)
+
+    def machine_parts(self, pinned) -> tuple:
+        """Returns the last arguments of a `generation.Generation`: what the gateway shares."""
+        ledger = self._ledger_by_service.setdefault(pinned.service, generation.WorkLedger())
+        return self._detector, self._budget, ledger, self._rng
+
+    def copies(self, pinned) -> int:
+        """Returns the number of journal copies of a request."""
+        return self.settings.copies or pinned.journal_copies
+
+    def open_new(
+        self, key, pinned, machine, waiting, now, actions, generation_number=1, replaced=0
+    ):
+        """Opens a request under a new journal and joins the callers that wait.
+
+        Args:
+            key: Tuple (account, request id).
+            pinned: `headers.Pinned`.
+            machine: `generation.Generation` that was not opened yet.
+            waiting: `Submit`, `Attach` and `Cancel` events.
+            now: Seconds of CLOCK_BOOTTIME.
+            actions: List that the actions are appended to.
+            generation_number: First generation number.
+            replaced: Highest epoch counter of a lost journal of this request, or 0.
+        """
         owner = replication.admit(
             key,
             self.epochs,
-            self._holders(now),
-            self._copies(pinned),
+            self.holders(now),
+            self.copies(pinned),
             headers.encode(pinned),
             pinned.header.settings.keep_answer_s,
             self.settings.replication,
-        )
-        machine = generation.Generation(
-            pinned.header, self._detector, self._budget, self._ledger(pinned), self._rng
+            generation=generation_number,
+            replaced=replaced,
         )
         request = requests.OpenRequest(key, pinned, owner, machine, self)
         self.open_by_key[key] = request
         request.owner_event(replication.Start(), now, actions)
         request.handle(generation_messages.Opened(), now, actions)
-        for submit in waiting.submits:
-            self._join(request, submit, now, actions)
-
-    def _copies(self, pinned):
-        return self.settings.copies or pinned.journal_copies
-
-    def _ledger(self, pinned):
-        return self._ledger_by_service.setdefault(pinned.service, generation.WorkLedger())
+        for event in waiting:
+            self.join(request, event, now, actions)
 
     def _finish_admission(self, key, pinned):
         header = pinned.header
@@ -430,7 +360,7 @@
 
     # Callers.
 
-    def _join(self, request, event, now, actions):
+    def join(self, request, event, now, actions):
         """Attaches a waiting `Submit`, `Attach` or `Cancel` to an open request."""
         kind = type(event)
         if kind is messages.Cancel:
@@ -462,13 +392,11 @@
     def _attach(self, event, now, actions):
         key = (event.account, event.request_id)
         if key in self.open_by_key:
-            self._join(self.open_by_key[key], event, now, actions)
+            self.join(self.open_by_key[key], event, now, actions)
         elif key in self._waiting_by_key and type(event) is messages.Attach:
             self._waiting_by_key[key].submits.append(event)
-        elif key in self._takeover_by_key:
-            self._takeover_by_key[key].waiting.append(event)
-        else:
-            self._take_over(key, event, now, actions)
+        elif not self._takeovers.wait(key, event):
+            self._takeovers.begin(key, event, now, actions)
 
     def _from_reader(self, event, now, actions):
         request = self.open_by_key.get(event.key)
@@ -477,15 +405,13 @@
             return
         if type(event.event) is not generation_messages.ReaderLeft:
             return
-        # A caller that left the queue must not be run for nobody.
         reader = event.event.reader
+        self._takeovers.reader_left(reader)
+        # A caller that left the queue must not be run for nobody.
         for key, waiting in list(self._waiting_by_key.items()):
             waiting.submits = [each for each in waiting.submits if each.reader != reader]
             if waiting.submits or waiting.pinned is not None:
                 continue
-            # An entry without a service waits for control, whose answer removes it.
-            if waiting.service is None:
-                continue
             if waiting.service.on_absence == generation.ABSENCE_CANCEL:
                 self._pool(waiting.service).cancel(key)
                 del self._waiting_by_key[key]
@@ -495,211 +421,29 @@
         if request is not None:
             request.handle(event.event, now, actions)
 
-    # Takeover.
-
-    def _take_over(self, key, event, now, actions):
-        """Starts to look for a request that is not open here; `event` waits for the outcome."""
-        # A gateway that has just started knows no other one, so that it would call a request
-        # unknown that others hold. One whose settings name only itself has nobody to wait for.
-        if self.settings.peers != 1 and not self.directory.is_complete(now):
-            if event is not None:
-                actions.append(
-                    messages.ReaderFail(
-                        event.reader,
-                        codes.Code.JOURNAL_UNAVAILABLE,
-                        "This gateway is cut off from the other gateways.",
-                    )
-                )
-            return
-        live = self._holders(now, with_draining=True)
-        per_zone = len(live) if len(live) <= SMALL_SYSTEM else 2
-        held = self.store.by_key.get(key)
-        known = () if held is None else held.config.members()
-        live_ids = {gateway.holder for gateway in live}
-        candidates = ranking.choose_candidates(
-            key, live, [holder for holder in known if holder in live_ids], per_zone
-        )
-        takeover = replication.Takeover(
-            key,
-            self.epochs,
-            candidates,
-            None,
-            self.settings.copies or 3,
-            self._holders(now),
-            self.settings.replication,
-            self._rng,
-        )
-        pending = self._takeover_by_key[key] = _Takeover(takeover)
-        if event is not None:
-            pending.waiting.append(event)
-        actions.append(messages.Count({"takeovers": 1}))
-        self._run_takeover(key, takeover.handle(replication.Start(), now), now, actions)
-
-    def _run_takeover(self, key, results, now, actions):
-        pending = self._takeover_by_key.get(key)
-        for index, action in enumerate(results):
-            kind = type(action)
-            if kind is replication.TakenOver:
-                del self._takeover_by_key[key]
-                self._taken_over(key, action.owner, results[index + 1 :], pending, now, actions)
-                return
-            if kind is replication.Failed:
-                del self._takeover_by_key[key]
-                self._takeover_failed(key, action.failure, pending, now, actions)
-                return
-            if action.to != self.epochs.holder:
-                actions.append(messages.SendJournal(action.to, action.message))
-                continue
-            for reply in self.store.handle(action.message, now):
-                event = replication.Received(self.epochs.holder, reply)
-                self._run_takeover(key, pending.takeover.handle(event, now), now, actions)
-                if self._takeover_by_key.get(key) is not pending:
-                    return
-
-    def _taken_over(self, key, owner, owner_actions, pending, now, actions):
-        result = headers.decode(owner.header)
-        if result.is_error():
-            self._fail_waiting(pending.waiting, result.error, actions)
-            return
-        pinned = result.ok
-        owner.set_copies(self._copies(pinned), now)
-        machine = generation.Generation.from_journal(
-            pinned.header,
-            owner.generation,
-            list(owner.tokens),
-            owner.end is not None,
-            "" if owner.attempt is None else owner.attempt.engine,
-            self._detector,
-            self._budget,
-            self._ledger(pinned),
-            self._rng,
-        )
-        if self.settings.restart:
-            pinned.header.settings.prefix_tries = 0
-        request = requests.OpenRequest(key, pinned, owner, machine, self)
-        self.open_by_key[key] = request
-        actions.append(messages.Note(key, "taken over"))
-        request.owner_actions(owner_actions, now, actions)
-        request.handle(generation_messages.Opened(), now, actions)
-        if owner.committed[1] >= 0:
-            # The takeover committed all that the journal held.
-            request.handle(
-                generation_messages.JournalCommitted(
-                    owner.generation,
-                    owner.committed[1],
-                    owner.committed[2],
-                    request.note_committed(),
-                ),
-                now,
-                actions,
-            )
-        for event in pending.waiting:
-            self._join(request, event, now, actions)
-
-    def _takeover_failed(self, key, failure, pending, now, actions):
-        self._adopt_at_by_key[key] = now + ADOPT_RETRY_S
-        submits = [event for event in pending.waiting if type(event) is messages.Submit]
-        others = [event for event in pending.waiting if type(event) is not messages.Submit]
-        durable = any(self._service_by_name[event.service].durable for event in submits)
-        if durable or others or not pending.waiting:
-            # Control may hold the request although no journal was found.
-            self._waiting_by_key[key] = _Waiting(pending.waiting, None, failure)
-            self._waiting_by_key[key].replaced = pending.takeover.counter
-            actions.append(messages.FindRequest(key))
-            return
-        if failure.code is codes.Code.REQUEST_UNKNOWN:
-            first, *rest = submits
-            self._enqueue(first, now, actions)
-            for event in rest:
-                self._submit(event, now, actions)
-            return
-        self._fail_waiting(pending.waiting, failure, actions)
-
-    def _fail_waiting(self, waiting, failure, actions):
-        for event in waiting:
-            actions.append(messages.ReaderFail(event.reader, failure.code, failure.message))
-
-    # Durable requests whose journal is lost.
-
-    def _request_found(self, event, now, actions):
-        waiting = self._waiting_by_key.pop(event.key, None)
-        if waiting is None:
-            return
-        if event.header is not None:
-            self._waiting_by_key[event.key] = waiting
-            waiting.pinned = event.header
-            actions.append(messages.ClaimGeneration(event.key, event.generation))
-            return
-        failure = event.failure or waiting.failure
-        if event.failure is None and failure.code is codes.Code.REQUEST_UNKNOWN:
-            submits = [each for each in waiting.submits if type(each) is messages.Submit]
-            if submits:
-                for each in submits:
-                    self._submit_unknown(each, now, actions)
-                waiting.submits = [
-                    each for each in waiting.submits if type(each) is not messages.Submit
-                ]
-        self._fail_waiting(waiting.submits, failure, actions)
-
-    def _submit_unknown(self, event, now, actions):
+    def submit_unknown(self, event, now, actions):
+        """Admits a submitted request that neither a journal nor control knows."""
         key = (event.account, event.request_id)
-        if key in self._waiting_by_key:
+        if key in self.open_by_key:
+            self.join(self.open_by_key[key], event, now, actions)
+        elif key in self._waiting_by_key:
             self._waiting_by_key[key].submits.append(event)
-            return
-        self._enqueue(event, now, actions)
+        else:
+            self.enqueue(event, now, actions)
+
+    def _request_found(self, event, now, actions):
+        self._takeovers.request_found(event, now, actions)
 
     def _generation_claimed(self, event, now, actions):
-        waiting = self._waiting_by_key.pop(event.key, None)
-        if waiting is None:
-            return
-        if event.failure is not None:
-            self._fail_waiting(waiting.submits, event.failure, actions)
-            return
-        result = headers.decode(waiting.pinned)
-        if result.is_error():
-            self._fail_waiting(waiting.submits, result.error, actions)
-            return
-        pinned = result.ok
-        # Another answer id, so that nothing of the lost journal can be joined to this answer.
-        pinned.answer = f"{self._rng.getrandbits(64):016x}"
-        pinned.header.seed = self._rng.getrandbits(62)
-        owner = replication.admit(
-            event.key,
-            self.epochs,
-            self._holders(now),
-            self._copies(pinned),
-            headers.encode(pinned),
-            pinned.header.settings.keep_answer_s,
-            self.settings.replication,
-            generation=event.generation,
-            replaced=waiting.replaced,
-        )
-        machine = generation.Generation.from_journal(
-            pinned.header,
-            event.generation,
-            [],
-            False,
-            "",
-            self._detector,
-            self._budget,
-            self._ledger(pinned),
-            self._rng,
-        )
-        request = requests.OpenRequest(event.key, pinned, owner, machine, self)
-        self.open_by_key[event.key] = request
-        actions.append(messages.Note(event.key, "run again after its journal was lost"))
-        request.owner_event(replication.Start(), now, actions)
-        request.handle(generation_messages.Opened(), now, actions)
-        for each in waiting.submits:
-            self._join(request, each, now, actions)
+        self._takeovers.generation_claimed(event, now, actions)
 
     def _adopt(self, event, now, actions):
-        key = event.key
-        if key in self.open_by_key or key in self._waiting_by_key or key in self._takeover_by_key:
-            return
-        if now < self._adopt_at_by_key.get(key, 0.0):
-            return
-        self._take_over(key, None, now, actions)
+        if event.key not in self.open_by_key and event.key not in self._waiting_by_key:
+            self._takeovers.adopt(event.key, now, actions)
+
+    def is_waiting(self, key) -> bool:
+        """Returns whether a request is in the queue or waits for its commit at control."""
+        return key in self._waiting_by_key
 
     # Journals.
 
@@ -727,12 +471,9 @@
                 return
             request.owner_event(replication.Received(sender, reply), now, actions)
             return
-        pending = self._takeover_by_key.get(reply.key)
-        if pending is not None:
-            event = replication.Received(sender, reply)
-            self._run_takeover(reply.key, pending.takeover.handle(event, now), now, actions)
+        self._takeovers.received(sender, reply, now, actions)
 
-    def _holders(self, now, with_draining=False):
+    def holders(self, now, with_draining=False):
         """Returns the live gateways that may hold journals, as `ranking.Gateway`."""
         return [
             ranking.Gateway(holder_id(entry.description), entry.description.availability_zone)
@@ -867,9 +608,7 @@
                 request.handle(generation_messages.Tick(), now, actions)
             if request.owner.deadline <= now:
                 request.owner_event(journal.Tick(), now, actions)
-        for key, pending in list(self._takeover_by_key.items()):
-            if pending.takeover.deadline <= now:
-                self._run_takeover(key, pending.takeover.handle(journal.Tick(), now), now, actions)
+        self._takeovers.tick(now, actions)
         if now >= self._scan_at:
             self._scan_at = now + SCAN_INTERVAL_S
             self._scan(now, actions)
@@ -883,12 +622,12 @@
         for expired, failure in pool.expire(now):
             waiting = self._waiting_by_key.pop(expired.id, None)
             if waiting is not None:
-                self._fail_waiting(waiting.submits, failure, actions)
+                takeovers.fail_waiting(waiting.submits, failure, actions)
 
     def _scan(self, now, actions):
         self._scan_gateways(now, actions)
         self._scan_targets(now, actions)
-        self._scan_orphans(now, actions)
+        self._takeovers.scan_orphans(now, actions)
         self.store.handle(journal.Tick(), now)
         self._sends.forget_before(now - directory.KEEP_S)
 
@@ -906,7 +645,7 @@
         if live != self._live:
             self._live = live
             self._live_gateways = [
-                gateway for gateway in self._holders(now) if gateway.holder in live
+                gateway for gateway in self.holders(now) if gateway.holder in live
             ]
             for pool in self._pool_by_model.values():
                 pool.set_live_gateways(max(1, len(live)))
@@ -935,23 +674,6 @@
                 elif entry is not None and entry.state == "leaving":
                     request.handle(generation_messages.TargetLeaving(target), now, actions)
 
-    def _scan_orphans(self, now, actions):
-        """Takes over journals whose owner is gone, if this gateway is their first live holder."""
-        if not self.directory.is_current(now):
-            return
-        live = {holder_id(entry.description) for entry in self.directory.live_gateways(now)}
-        for key, held in list(self.store.by_key.items()):
-            if held.accepted[1] in live or key in self.open_by_key or key in self._takeover_by_key:
-                continue
-            if key in self._waiting_by_key or now < self._adopt_at_by_key.get(key, 0.0):
-                continue
-            first = next((each for each in held.config.members() if each in live), None)
-            if first == self.epochs.holder:
-                self._adopt_at_by_key[key] = now + ADOPT_RETRY_S
-                self._take_over(key, None, now, actions)
-        for key in [key for key, at in self._adopt_at_by_key.items() if now > at + 60.0]:
-            del self._adopt_at_by_key[key]
-
     def _drain(self, event, now, actions):
         if self._drain_at is None:
             self._drain_at = now
@@ -964,7 +686,7 @@
 
 
 HANDLER_BY_EVENT = {
-    messages.Submit: GatewayCore._submit,
+    messages.Submit: GatewayCore.submit,
     messages.Attach: GatewayCore._attach,
     messages.Cancel: GatewayCore._attach,
     messages.FromReader: GatewayCore._from_reader,
--- a/chiveswitch/core/gateway_test.py
+++ b/chiveswitch/core/gateway_test.py
@@ -2,14 +2,21 @@
 
 import random
 
-from chiveswitch.core import bundles, codes, directory, gateway, generation_messages
+from chiveswitch.core import (
+    bundles,
+    codes,
+    directory,
+    gateway,
+    gateway_settings,
+    generation_messages,
+)
 from chiveswitch.core import gateway_messages as messages
 from chiveswitch.tools import sample
 
 
 def new_core(peers):
     description = directory.Description("g1", "gateway", "zone-a", "127.0.0.1:1", 1)
-    settings = gateway.GatewaySettings(peers=peers)
+    settings = gateway_settings.GatewaySettings(peers=peers)
     core = gateway.GatewayCore(settings, description, random.Random(1), 0.0)
     bundle = bundles.parse(sample.sample_bundle()).ok
     core.handle(messages.BundleConfirmed(1, bundle, 0.0), 0.0)
--- a/chiveswitch/core/replication.py
+++ b/chiveswitch/core/replication.py
@@ -307,7 +307,7 @@
             return []
         return OWNER_HANDLER_BY_EVENT[type(event)](self, event, now)
 
-    def set_copies(self, copies_wanted: int, now: float):
+    def set_copies(self, copies_wanted: int):
         """Sets the number of copies once the header of a journal that was taken over is known."""
         self._copies_wanted = copies_wanted
 
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -9,7 +9,16 @@
 
 from chiveswitch.callers import app as callers_app
 from chiveswitch.callers import call_runner, readers
-from chiveswitch.core import addresses, bundles, clock, codes, directory, gateway, journal
+from chiveswitch.core import (
+    addresses,
+    bundles,
+    clock,
+    codes,
+    directory,
+    gateway,
+    gateway_settings,
+    journal,
+)
 from chiveswitch.core import gateway_messages as messages
 from chiveswitch.core import generation_messages, telemetry
 from chiveswitch.core import settings as settings_module
@@ -59,7 +68,7 @@
             int(clock.now() * 1000),
             peer_address=settings.peer_listen,
         )
-        core_settings = core_settings or gateway.GatewaySettings(
+        core_settings = core_settings or gateway_settings.GatewaySettings(
             policy=settings.policy,
             detector=settings.detector,
             copies=settings.copies,
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -13,7 +13,16 @@
 
 import expression
 
-from chiveswitch.core import bundles, calls, codes, control_state, directory, gateway, journal
+from chiveswitch.core import (
+    bundles,
+    calls,
+    codes,
+    control_state,
+    directory,
+    gateway,
+    gateway_settings,
+    journal,
+)
 from chiveswitch.core import gateway_messages as outward
 from chiveswitch.core import generation_messages as inner
 from chiveswitch.peers import journal_codec
@@ -376,7 +385,7 @@
 
     def start(self):
         self.core = gateway.GatewayCore(
-            gateway.GatewaySettings(),
+            gateway_settings.GatewaySettings(),
             directory.Description(
                 self.name, "gateway", self.zone, self.name, self.incarnation, peer_address=self.name
             ),
