--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -25,6 +25,7 @@
 from chiveswitch.peers import (
     control_client,
     directory_codec,
+    directory_feed,
     frames,
     journal_codec,
     kinds,
@@ -40,7 +41,6 @@
 BATCH_SECONDS = 0.002
 PULL_INTERVAL_SECONDS = 0.4
 PULL_PEERS = 2
-PULL_TIMEOUT_SECONDS = 0.35
 # Replies of a holder count as evidence of life at most this often, since each one is spread.
 CONTACT_INTERVAL_SECONDS = 0.3
 
@@ -83,7 +83,9 @@
         self._next_token = 0
         self._next_call = 0
         self._calls = call_runner.CallRunner(self.core, None, self.core.epochs.holder)
-        self._link_by_address = {}
+        self._directory_feed = directory_feed.DirectoryFeed(
+            self.core.directory, self._pull_seeds, PULL_INTERVAL_SECONDS, PULL_PEERS, self._rng
+        )
         self._streams = streams.Streams(engine_client.EngineClient(), self.post)
         self._tasks = []
         self._server = None
@@ -185,7 +187,9 @@
             "open": len(core.open_by_key),
             "journals": len(core.store.by_key),
             "journal_bytes": core.store.size,
-            "peer_bytes_out": sum(link.bytes_out for link in self._link_by_address.values()),
+            "peer_bytes_out": sum(
+                link.bytes_out for link in self._directory_feed.link_by_address.values()
+            ),
             "targets": [
                 {
                     "id": entry.description.id,
@@ -245,7 +249,7 @@
         self._server = await serving.start(callers_app.build_app(self), host, int(port))
         log.info("gateway: %s listens on %s", self.settings.gateway_id, self.settings.listen)
         loop = asyncio.get_running_loop()
-        for each in (self._tick(), self._pull(), self._feed.run()):
+        for each in (self._tick(), self._directory_feed.run(), self._feed.run()):
             self._tasks.append(asyncio.ensure_future(each))
         main = asyncio.ensure_future(self._main())
         drained = loop.create_future()
@@ -285,8 +289,7 @@
         for task in self._tasks:
             task.cancel()
         await self._feed.close()
-        for link in self._link_by_address.values():
-            await link.close()
+        await self._directory_feed.close()
         self._server.force_exit = True
         await serving.stop(self._server)
         await self._peer_server.close()
@@ -326,6 +329,9 @@
             self._calls.tick(now)
             if now >= heartbeat_at:
                 heartbeat_at = now + readers.HEARTBEAT_SECONDS / 2
+                # The state stays as it is; `draining` is set by the core and is final.
+                own = self.core.directory.own
+                self.core.directory.set_own(own.state, len(self.core.open_by_key), 0)
                 for reader in list(self._reader_by_id.values()):
                     reader.heartbeat(now)
 
@@ -348,7 +354,7 @@
             frames.idl.JournalFrame(to=holder, sender=self.core.epochs.holder, messages=encoded)
         )
         future = asyncio.get_running_loop().create_future()
-        link = self._link(entry.description.peer_address)
+        link = self._directory_feed.link(entry.description.peer_address)
         if link.post(kinds.Kind.JOURNAL, frame, future=future) is None:
             return
         sent_at = clock.now()
@@ -392,44 +398,10 @@
         frame = frames.idl.JournalFrame(to="", sender=self.core.epochs.holder, messages=encoded)
         future.set_result(frames.encode_ok(frame))
 
-    def _link(self, address):
-        link = self._link_by_address.get(address)
-        if link is None:
-            link = self._link_by_address[address] = links.Link(address)
-        return link
-
     # Directory.
 
-    async def _pull(self):
-        seeds = settings_module.split_list(self.settings.peers)
-        while True:
-            known = seeds + self._feed.peer_addresses
-            chosen = self.core.directory.choose_peers(known, PULL_PEERS, self._rng)
-            await asyncio.gather(*(self._pull_from(peer) for peer in chosen))
-            self.core.directory.set_own(
-                "ready" if self.core.directory.own.state == "ready" else "draining",
-                len(self.core.open_by_key),
-                0,
-            )
-            await asyncio.sleep(PULL_INTERVAL_SECONDS * self._rng.uniform(0.9, 1.1))
-
-    async def _pull_from(self, peer):
-        for _ in range(3):
-            sent_at = clock.now()
-            request = self.core.directory.pull_request(peer, sent_at)
-            result = await self._link(peer).call(
-                kinds.Kind.DIRECTORY_PULL,
-                directory_codec.encode_request(request),
-                PULL_TIMEOUT_SECONDS,
-            )
-            if result.is_error():
-                return
-            answer = directory_codec.decode_answer(result.ok)
-            if answer.is_error():
-                log.warning("gateway: dropped a directory answer: %s", answer.error.message)
-                return
-            if not self.core.directory.apply_pull(peer, answer.ok, sent_at, clock.now()):
-                return
+    def _pull_seeds(self):
+        return settings_module.split_list(self.settings.peers) + self._feed.peer_addresses
 
     def _serve_pull(self, payload, _trace):
         result = directory_codec.decode_request(payload)
