--- a/chiveswitch/callers/call_runner.py
+++ b/chiveswitch/callers/call_runner.py
@@ -36,7 +36,7 @@
 
     Attributes:
         core: `gateway.GatewayCore`, for the choice of targets and the retry budget.
-        control: Object with `async propose(struct, deadline) -> Result`, or None without control.
+        control: Object with `async propose(struct, deadline, trace) -> Result`, or None.
     """
 
     def __init__(self, core, control, gateway: str):
@@ -139,7 +139,7 @@
 
     async def _propose(self, command, struct):
         deadline = clock.now() + CONTROL_TIMEOUT_SECONDS
-        result = await self._runner.control.propose(struct, deadline)
+        result = await self._runner.control.propose(struct, deadline, self._traceparent)
         if result.is_error() and result.error.code in UNDECIDED_CODES:
             self._inbox.put_nowait(calls.ControlLost(command))
             return
--- a/chiveswitch/callers/call_runner_test.py
+++ b/chiveswitch/callers/call_runner_test.py
@@ -28,7 +28,7 @@
         self.losses = 0
         self._index = 0
 
-    async def propose(self, struct, deadline):
+    async def propose(self, struct, deadline, trace=""):
         self._index += 1
         data = control_state.encode(struct, self._index)
         result = self.state.apply(self._index, 1, data)
--- a/chiveswitch/targets/standin_engine.py
+++ b/chiveswitch/targets/standin_engine.py
@@ -386,8 +386,23 @@
         }
 
 
-def build_app(engine: Engine) -> applications.Starlette:
-    """Returns the engine's HTTP application."""
+async def traced(stream, span):
+    """Yields what a stream yields and ends a span with it."""
+    try:
+        async for chunk in stream:
+            yield chunk
+    finally:
+        await stream.aclose()
+        span.end()
+
+
+def build_app(engine: Engine, instruments=None) -> applications.Starlette:
+    """Returns the engine's HTTP application.
+
+    Args:
+        engine: The engine.
+        instruments: `telemetry.Telemetry` for spans, or None.
+    """
 
     async def generate(request):
         body = orjson.loads(await request.body())
@@ -395,9 +410,14 @@
         if wanted not in engine.models:
             return responses.JSONResponse({"error": "the model is not loaded"}, 409)
         attempt = engine.submit(body)
-        return responses.StreamingResponse(
-            engine.stream(attempt, attempt.prefix_length), media_type="text/event-stream"
-        )
+        stream = engine.stream(attempt, attempt.prefix_length)
+        if instruments is not None:
+            traceparent = request.headers.get("traceparent", "")
+            span = instruments.span(
+                "engine.attempt", traceparent, prefix_length=attempt.prefix_length
+            )
+            stream = traced(stream, span)
+        return responses.StreamingResponse(stream, media_type="text/event-stream")
 
     async def reattach(request):
         attempt = engine.attempts_by_id.get(request.path_params["attempt_id"])
--- a/chiveswitch/targets/streams.py
+++ b/chiveswitch/targets/streams.py
@@ -31,10 +31,18 @@
         self._task_by_attempt = {}
         self._others = set()
 
-    def open(self, action, traceparent: str = ""):
-        """Executes `gateway_messages.OpenStream`."""
+    def open(self, action, traceparent: str = "", on_end=None):
+        """Executes `gateway_messages.OpenStream`.
+
+        Args:
+            action: The action.
+            traceparent: Trace context for the engine.
+            on_end: Function that is called when this connection has ended, or None.
+        """
         opening = functools.partial(self.client.start, action.address, action.body, traceparent)
-        self._start(action.key, action.attempt, 0, opening)
+        task = self._start(action.key, action.attempt, 0, opening)
+        if on_end is not None:
+            task.add_done_callback(lambda done: on_end())
 
     def reattach(self, action):
         """Executes `gateway_messages.ReattachStream`."""
@@ -68,6 +76,7 @@
                 del self._task_by_attempt[key, attempt]
 
         task.add_done_callback(forget)
+        return task
 
     async def _cancel(self, action):
         if action.address and await self.client.cancel(action.address, action.attempt_id):
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -355,11 +355,21 @@
         )
         future = asyncio.get_running_loop().create_future()
         link = self._directory_feed.link(entry.description.peer_address)
-        if link.post(kinds.Kind.JOURNAL, frame, future=future) is None:
+        if link.post(kinds.Kind.JOURNAL, frame, self._journal_trace(waiting), future) is None:
             return
         sent_at = clock.now()
         future.add_done_callback(lambda done: self._journal_replied(holder, sent_at, done))
 
+    def _journal_trace(self, waiting):
+        """Returns the trace context of the first journal that a frame installs or takes over."""
+        for message in waiting:
+            if type(message) not in (journal.Install, journal.Promise):
+                continue
+            span = self._span_by_key.get(message.key)
+            if span is not None:
+                return self.telemetry.traceparent(span)
+        return ""
+
     def _journal_replied(self, holder, sent_at, future):
         if future.cancelled() or future.result().is_error():
             return
@@ -371,7 +381,7 @@
         if replies:
             self.post([messages.JournalReceived(holder, replies)])
 
-    def _serve_journal(self, payload, _trace):
+    def _serve_journal(self, payload, trace):
         result = frames.decode_struct(frames.idl.JournalFrame(), payload)
         if result.is_error():
             return result
@@ -387,6 +397,10 @@
         self._next_token += 1
         future = asyncio.get_running_loop().create_future()
         self._reply_by_token[self._next_token] = future
+        if trace:
+            # Only frames that install or take over a journal carry a trace, none of tokens does.
+            span = self.telemetry.span("gateway.journal", trace)
+            future.add_done_callback(lambda done: span.end())
         self.post([messages.JournalRequest(self._next_token, received)])
         return future
 
@@ -453,8 +467,7 @@
                 "gateway.attempt", self.telemetry.traceparent(span), attempt=action.attempt
             )
             traceparent = self.telemetry.traceparent(attempt)
-            attempt.end()
-        self._streams.open(action, traceparent)
+        self._streams.open(action, traceparent, None if span is None else attempt.end)
 
     def _reattach_stream(self, action):
         self._mark(action.key, "reattach")
--- a/chiveswitch/tools/main.py
+++ b/chiveswitch/tools/main.py
@@ -187,6 +187,7 @@
     ignores_fencing: Annotated[
         bool, option("ignores-fencing", "Execute orders whatever their fence is.", False)
     ]
+    trace_file: Annotated[str, option("trace-file", "File for spans, one JSON line each.", "")]
     log_level: Annotated[str, option("log-level", "DEBUG, INFO, WARNING or ERROR.", "INFO")]
 
 
--- a/chiveswitch/tools/standins.py
+++ b/chiveswitch/tools/standins.py
@@ -5,6 +5,7 @@
 import signal
 
 from chiveswitch.core import settings as settings_module
+from chiveswitch.core import telemetry
 from chiveswitch.platform import weight_store
 from chiveswitch.targets import announcer, standin_engine, standin_service
 from chiveswitch.tools import serving
@@ -98,9 +99,10 @@
             "services": [],
         }
 
+    instruments = telemetry.Telemetry("engine", settings.target_id, settings.trace_file)
     await serve_target(
         settings,
-        standin_engine.build_app(engine),
+        standin_engine.build_app(engine, instruments),
         describe,
         lambda: not engine.running and not engine.queue,
         [engine.run(), engine.follow_orders()],
