Check the gateway's settings as a whole, with the bundle file and the registries' names

Before: an unknown policy, detector or log level and a faulty bundle file ended the gateway with a traceback, one at a time. Logs are set up and the drain time is defined in one place each.

--- a/chiveswitch/core/gateway.py
+++ b/chiveswitch/core/gateway.py
@@ -7,6 +7,7 @@
 import hashlib
 
 from chiveswitch.core import (
+    addresses,
     admission,
     codes,
     detector,
@@ -25,7 +26,6 @@
 from chiveswitch.core import gateway_messages as messages
 
 SCAN_INTERVAL_S = 0.25
-DRAIN_ACCEPT_S = 12.5
 # For this long after its start a gateway waits to know enough others to hold its journals. Later
 # it works with those that are there, since the others may be dead.
 START_GRACE_S = 5.0
@@ -134,7 +134,7 @@
 
     def refusal(self, now: float):
         """Returns why no new work is admitted now, as a `codes.Failure`, or None."""
-        if self._drain_at is not None and now >= self._drain_at + DRAIN_ACCEPT_S:
+        if self._drain_at is not None and now >= self._drain_at + addresses.DRAIN_ACCEPT_S:
             return codes.Failure(codes.Code.DRAINING, "This gateway is shutting down.")
         if self.bundle is None or now >= self._confirmed_at + self.settings.lease_s:
             return codes.Failure(
@@ -162,7 +162,7 @@
 
     def is_drained(self, now: float) -> bool:
         """Returns whether a draining gateway may exit without cutting anything."""
-        if self._drain_at is None or now < self._drain_at + DRAIN_ACCEPT_S:
+        if self._drain_at is None or now < self._drain_at + addresses.DRAIN_ACCEPT_S:
             return False
         for request in self.open_by_key.values():
             if request.machine.outcome is None or request.machine.has_readers():
@@ -170,7 +170,7 @@
         if self._waiting_by_key or self._takeovers.is_busy():
             return False
         held = any(entry.accepted[1] != self.epochs.holder for entry in self.store.by_key.values())
-        return not held or now >= self._drain_at + DRAIN_ACCEPT_S + DRAIN_JOURNALS_S
+        return not held or now >= self._drain_at + addresses.DRAIN_ACCEPT_S + DRAIN_JOURNALS_S
 
     def _bundle_confirmed(self, event, now, actions):
         if event.serial < self.serial:
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -7,6 +7,8 @@
 import signal
 import uuid
 
+import expression
+
 from chiveswitch.callers import app as callers_app
 from chiveswitch.callers import call_runner, readers
 from chiveswitch.core import (
@@ -14,10 +16,12 @@
     bundles,
     clock,
     codes,
+    detector,
     directory,
     gateway,
     gateway_settings,
     journal,
+    selection,
 )
 from chiveswitch.core import gateway_messages as messages
 from chiveswitch.core import generation_messages, telemetry
@@ -37,6 +41,8 @@
 log = logging.getLogger("chiveswitch.gateway")
 
 TICK_SECONDS = 0.025
+# 0 takes the service's setting; 1 is a baseline for comparison.
+JOURNAL_COPIES = (0, 1, 3, 5)
 # Least time between two batches, which bounds the delay that batching adds to a token.
 BATCH_SECONDS = 0.002
 PULL_INTERVAL_SECONDS = 0.4
@@ -536,6 +542,41 @@
 }
 
 
+def check(settings) -> list:
+    """Returns the errors of the settings that need more than their own text."""
+    errors = []
+    for name, registry in (
+        ("policy", selection.POLICY_BY_NAME),
+        ("detector", detector.DETECTOR_BY_NAME),
+    ):
+        value = getattr(settings, name)
+        if value not in registry:
+            message = f"{value!r} is none of {', '.join(sorted(registry))}"
+            errors.append(settings_module.setting_failure(name, message))
+    if settings.copies not in JOURNAL_COPIES:
+        message = f"{settings.copies} is none of {JOURNAL_COPIES}"
+        errors.append(settings_module.setting_failure("copies", message))
+    if settings.statsd:
+        errors += settings_module.address_error("statsd", settings.statsd)
+    if settings.bundle_file:
+        errors += read_bundle(settings.bundle_file).swap().default_value([])
+    return errors
+
+
+def read_bundle(path: str) -> expression.Result:
+    """Returns Ok with the bundle in a file, or a list of failures."""
+    try:
+        data = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        return expression.Error([settings_module.setting_failure("bundle-file", str(error))])
+    parsed = bundles.parse(data)
+    if parsed.is_ok():
+        return parsed
+    return expression.Error(
+        [settings_module.setting_failure("bundle-file", repr(each)) for each in parsed.error]
+    )
+
+
 async def run(settings, bundle):
     """Runs a gateway; without control if a bundle is given."""
     await Gateway(settings).run(bundle)
@@ -545,5 +586,5 @@
     """Runs the daemon until it is drained."""
     bundle = None
     if settings.bundle_file:
-        bundle = bundles.parse(pathlib.Path(settings.bundle_file).read_bytes()).ok
+        bundle = read_bundle(settings.bundle_file).ok
     asyncio.run(run(settings, bundle))
--- a/chiveswitch/tools/main.py
+++ b/chiveswitch/tools/main.py
@@ -1,17 +1,19 @@
 """The command `chiveswitch`; its subcommands are thin daemons and operator tools."""
 
 import dataclasses
-import logging
 import sys
 from typing import Annotated
 
 import cappa
 
 from chiveswitch.core import settings as settings_module
+from chiveswitch.core import telemetry
 from chiveswitch.tools import measure_settings, operator_commands, options
 
 option = options.option
 
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
 
 def start(settings, errors, run):
     """Checks the settings as a whole, sets up logs and runs a daemon.
@@ -19,15 +21,15 @@
     Returns:
         2 with every error printed if the settings are wrong, else 0.
     """
+    level = getattr(settings, "log_level", "INFO").upper()
+    if level not in LOG_LEVELS:
+        message = f"{level!r} is none of {', '.join(LOG_LEVELS)}"
+        errors = [*errors, settings_module.setting_failure("log-level", message)]
     if errors:
         for error in errors:
             print(f"{int(error.code)} {error.code.name} {error.message}", file=sys.stderr)
         raise cappa.Exit(code=2)
-    logging.basicConfig(
-        level=getattr(settings, "log_level", "INFO").upper(),
-        format="%(asctime)s %(levelname)s %(message)s",
-        stream=sys.stderr,
-    )
+    telemetry.set_up_logging(level)
     run(settings)
 
 
@@ -35,7 +37,8 @@
     """Starts the gateway daemon."""
     from chiveswitch.tools import gateway
 
-    errors = settings_module.required_error("gateway-id", settings.gateway_id)
+    errors = gateway.check(settings)
+    errors += settings_module.required_error("gateway-id", settings.gateway_id)
     errors += settings_module.required_error("availability-zone", settings.availability_zone)
     errors += settings_module.address_error("listen", settings.listen)
     errors += settings_module.address_error("peer-listen", settings.peer_listen)
