Share the checked connection and the stand-ins' announcements

The connection that asks before the first byte whether to send stood in the clients of services and of engine orders; it is now in targets.checked_client. The announcement of a stand-in was written four times, and a count that nothing read is gone.

--- a/chiveswitch/platform/orders_client.py
+++ b/chiveswitch/platform/orders_client.py
@@ -1,43 +1,24 @@
 """Client of an engine's orders: sends one with a last check before the first byte, and reads back
 the engine's state. Answers are decoded strictly, because an engine may answer anything."""
 
-import contextvars
 import enum
 
 import aiosonic
 import orjson
-from aiosonic import connection, connectors, exceptions, pools
 
 from chiveswitch.core import clock, orders
+from chiveswitch.targets import checked_client
 
-CONNECT_TIMEOUT_SECONDS = 0.5
 ANSWER_TIMEOUT_SECONDS = 1.0
 TIMEOUTS = aiosonic.timeout.Timeouts(
-    sock_connect=CONNECT_TIMEOUT_SECONDS,
+    sock_connect=checked_client.CONNECT_TIMEOUT_SECONDS,
     sock_read=ANSWER_TIMEOUT_SECONDS,
-    request_timeout=CONNECT_TIMEOUT_SECONDS + ANSWER_TIMEOUT_SECONDS,
+    request_timeout=checked_client.CONNECT_TIMEOUT_SECONDS + ANSWER_TIMEOUT_SECONDS,
 )
 MAX_ANSWER_BYTES = 256 * 1024
 MAX_TRIPLES = 1024
 ROLES = ("mixed", "prefill")
 
-_may_send = contextvars.ContextVar("may_send", default=None)
-
-
-class SendForbiddenError(Exception):
-    """The leadership ended before the first byte of an order was sent."""
-
-
-class _CheckedConnection(connection.Connection):
-    """A connection that asks again, after connecting, whether the order may still be sent."""
-
-    async def connect(self, *args, **kwargs):
-        await super().connect(*args, **kwargs)
-        may_send = _may_send.get()
-        if may_send is not None and not may_send():
-            self.close()
-            raise SendForbiddenError
-
 
 class Result(enum.Enum):
     """What is known of an order after it was sent."""
@@ -48,15 +29,6 @@
     UNKNOWN = "unknown"
 
 
-def _new_client():
-    # A pooled connection may have gone silent, and its reuse would skip the check on connecting.
-    return aiosonic.HTTPClient(
-        connectors.TCPConnector(
-            pool_configs={":default": pools.PoolConfig(size=1)}, connection_cls=_CheckedConnection
-        )
-    )
-
-
 async def send(address: str, order: orders.SendOrder, may_send) -> Result:
     """Sends an order once, over a new connection.
 
@@ -74,24 +46,23 @@
         "load": [list(triple) for triple in order.load],
         "role": order.role,
     }
-    client = _new_client()
-    token = _may_send.set(may_send)
+    client = checked_client.new_client()
     try:
-        response = await client.request(
+        response = await checked_client.post(
+            client,
             f"http://{address}/v1/orders",
-            method="POST",
+            may_send,
             headers={"connection": "close"},
             data=orjson.dumps(body),
             timeouts=TIMEOUTS,
         )
         return decode_result(response.status_code, await response.content(), order.fence)
-    except (SendForbiddenError, ConnectionRefusedError, exceptions.ConnectTimeout):
+    except checked_client.NOT_SENT_ERRORS:
         return Result.NOT_SENT
     # After the connection stood, bytes may have left; nothing more is known.
     except Exception:
         return Result.UNKNOWN
     finally:
-        _may_send.reset(token)
         await client.connector.cleanup()
 
 
@@ -121,7 +92,7 @@
         An `orders.EngineReport` whose age counts from before the request was sent, or None.
     """
     asked_at = now()
-    client = _new_client()
+    client = checked_client.new_client()
     try:
         response = await client.request(
             f"http://{address}/v1/status",
--- a/chiveswitch/targets/announcer.py
+++ b/chiveswitch/targets/announcer.py
@@ -18,6 +18,32 @@
 )
 
 
+def description(
+    target_id,
+    kind,
+    availability_zone,
+    address,
+    load,
+    models=(),
+    role="",
+    honours_fencing=False,
+    services=(),
+) -> dict:
+    """Returns what an `Announcer`'s `describe` function returns, with the API's field names."""
+    return {
+        "id": target_id,
+        "kind": kind,
+        "availability_zone": availability_zone,
+        "address": address,
+        "models": [list(model) for model in models],
+        "role": role,
+        "load": load,
+        "warm": [],
+        "honours_fencing": honours_fencing,
+        "services": list(services),
+    }
+
+
 class Announcer:
     """Sends a target's announcements and moves on from gateways that do not answer.
 
--- a/chiveswitch/targets/service_client.py
+++ b/chiveswitch/targets/service_client.py
@@ -1,32 +1,12 @@
 """Client of plain services, which tells whether any byte of a call can have reached the target."""
 
-import contextvars
 import enum
 
 import aiosonic
 import orjson
-from aiosonic import connection, connectors, exceptions, pools
 
 from chiveswitch.core import clock
-
-CONNECT_TIMEOUT_SECONDS = 0.5
-
-_deadline = contextvars.ContextVar("permit_deadline", default=None)
-
-
-class DeadlinePassedError(Exception):
-    """The permit of a call ended before its first byte was sent."""
-
-
-class _CheckedConnection(connection.Connection):
-    """A connection that checks the permit's deadline after connecting, before the first byte."""
-
-    async def connect(self, *args, **kwargs):
-        await super().connect(*args, **kwargs)
-        deadline = _deadline.get()
-        if deadline is not None and clock.now() >= deadline:
-            self.close()
-            raise DeadlinePassedError
+from chiveswitch.targets import checked_client
 
 
 class Fate(enum.Enum):
@@ -72,33 +52,31 @@
     Returns:
         The `Outcome`.
     """
-    client = aiosonic.HTTPClient(
-        connectors.TCPConnector(
-            pool_configs={":default": pools.PoolConfig(size=1)}, connection_cls=_CheckedConnection
-        )
-    )
+    client = checked_client.new_client()
     headers = {"connection": "close", "traceparent": traceparent}
     if key:
         headers["idempotency-key"] = key
-    token = _deadline.set(deadline)
+    timeouts = aiosonic.timeout.Timeouts(
+        sock_connect=checked_client.CONNECT_TIMEOUT_SECONDS,
+        sock_read=timeout,
+        request_timeout=timeout,
+    )
     try:
-        response = await client.request(
+        response = await checked_client.post(
+            client,
             f"http://{address}/v1/calls",
-            method="POST",
+            None if deadline is None else lambda: clock.now() < deadline,
             headers={name: value for name, value in headers.items() if value},
             data=orjson.dumps({"service": service, "body": body}),
-            timeouts=aiosonic.timeout.Timeouts(
-                sock_connect=CONNECT_TIMEOUT_SECONDS, sock_read=timeout, request_timeout=timeout
-            ),
+            timeouts=timeouts,
         )
         return Outcome(Fate.ANSWERED, response.status_code, await response.content())
-    except DeadlinePassedError:
+    except checked_client.SendForbiddenError:
         return Outcome(Fate.DEADLINE_PASSED)
-    except (ConnectionRefusedError, exceptions.ConnectTimeout):
+    except checked_client.NOT_SENT_ERRORS:
         return Outcome(Fate.NOT_SENT)
     # After the connection stood, bytes may have left; nothing more is known.
     except Exception:
         return Outcome(Fate.UNKNOWN)
     finally:
-        _deadline.reset(token)
         await client.connector.cleanup()
--- a/chiveswitch/tools/embedded.py
+++ b/chiveswitch/tools/embedded.py
@@ -35,98 +35,89 @@
     handle_signals: bool = False
 
 
-class EmbeddedEngine:
-    """A stand-in engine with its server and announcements.
+class EmbeddedTarget:
+    """A stand-in target with its server and announcements.
 
     Attributes:
         name: Target id.
-        engine: `standin_engine.Engine`.
     """
 
-    def __init__(self, name: str, zone: str, token_seconds: float):
+    def __init__(self, name: str, zone: str):
         self.name = name
-        self.engine = standin_engine.Engine(
-            standin_engine.EngineSettings(token_seconds=token_seconds), [(sample.MODEL, "", "1")]
-        )
         self._zone = zone
         self._address = f"127.0.0.1:{processes.free_port()}"
         self._server = None
         self._tasks = []
 
-    async def start(self, gateways):
+    async def _serve(self, app, gateways, *coroutines):
         """Starts to serve and to announce."""
         host, _, port = self._address.rpartition(":")
-        app = standin_engine.build_app(self.engine)
         self._server = await serving.start(app, host, int(port))
         announcing = announcer.Announcer(self._describe, gateways, offset=int(port))
-        self._tasks = [
-            asyncio.ensure_future(self.engine.run()),
-            asyncio.ensure_future(announcing.run()),
-        ]
+        self._tasks = [asyncio.ensure_future(each) for each in (announcing.run(), *coroutines)]
 
     async def kill(self):
-        """Ends the engine at once, with its connections reset, as a killed process would."""
+        """Ends the target at once, with its connections reset, as a killed process would."""
         for task in self._tasks:
             task.cancel()
         await serving.abort(self._server)
 
+
+class EmbeddedEngine(EmbeddedTarget):
+    """A stand-in engine.
+
+    Attributes:
+        engine: `standin_engine.Engine`.
+    """
+
+    def __init__(self, name: str, zone: str, token_seconds: float):
+        super().__init__(name, zone)
+        self.engine = standin_engine.Engine(
+            standin_engine.EngineSettings(token_seconds=token_seconds), [(sample.MODEL, "", "1")]
+        )
+
+    async def start(self, gateways):
+        """Starts to serve and to announce."""
+        await self._serve(standin_engine.build_app(self.engine), gateways, self.engine.run())
+
     def _describe(self):
-        return {
-            "id": self.name,
-            "kind": "engine",
-            "availability_zone": self._zone,
-            "address": self._address,
-            "models": [list(model) for model in self.engine.models],
-            "role": "mixed",
-            "load": self.engine.load(),
-            "warm": [],
-            "honours_fencing": True,
-            "services": [],
-        }
-
-
-class EmbeddedService:
-    """A stand-in plain service with its server and announcements.
+        engine = self.engine
+        return announcer.description(
+            self.name,
+            "engine",
+            self._zone,
+            self._address,
+            engine.load(),
+            engine.models,
+            "mixed",
+            True,
+        )
+
+
+class EmbeddedService(EmbeddedTarget):
+    """A stand-in plain service.
 
     Attributes:
         service: `standin_service.Service`.
     """
 
     def __init__(self, name: str, zone: str, services):
-        self.name = name
+        super().__init__(name, zone)
         self.service = standin_service.Service(services)
-        self._zone = zone
-        self._address = f"127.0.0.1:{processes.free_port()}"
-        self._tasks = []
-        self._server = None
 
     async def start(self, gateways):
         """Starts to serve and to announce."""
-        host, _, port = self._address.rpartition(":")
-        app = standin_service.build_app(self.service)
-        self._server = await serving.start(app, host, int(port))
-        announcing = announcer.Announcer(self._describe, gateways, offset=int(port))
-        self._tasks = [asyncio.ensure_future(announcing.run())]
-
-    async def kill(self):
-        """Ends the service at once."""
-        for task in self._tasks:
-            task.cancel()
-        await serving.abort(self._server)
+        await self._serve(standin_service.build_app(self.service), gateways)
 
     def _describe(self):
-        return {
-            "id": self.name,
-            "kind": "service",
-            "availability_zone": self._zone,
-            "address": self._address,
-            "models": [],
-            "role": "",
-            "load": self.service.load(),
-            "warm": [],
-            "honours_fencing": False,
-            "services": self.service.names,
-        }
+        return announcer.description(
+            self.name,
+            "service",
+            self._zone,
+            self._address,
+            self.service.load(),
+            services=self.service.names,
+        )
 
 
 def build_gateways(count: int, control: str = "") -> list:
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -97,7 +97,6 @@
         self._server = None
         self._peer_server = None
         self._feed = None
-        self.cut_by_exit = 0
 
     # Backend of the HTTP application.
 
@@ -284,7 +283,6 @@
                     main.result()
             if not drained.result():
                 log.warning("gateway: cut %s open generations", len(self.core.open_by_key))
-                self.cut_by_exit = len(self.core.open_by_key)
         finally:
             main.cancel()
             await self.close()
--- a/chiveswitch/tools/standins.py
+++ b/chiveswitch/tools/standins.py
@@ -86,18 +86,16 @@
     )
 
     def describe():
-        return {
-            "id": settings.target_id,
-            "kind": "engine",
-            "availability_zone": settings.availability_zone,
-            "address": settings.listen,
-            "models": [list(model) for model in engine.models],
-            "role": engine.role,
-            "load": engine.load(),
-            "warm": [],
-            "honours_fencing": not settings.ignores_fencing,
-            "services": [],
-        }
+        return announcer.description(
+            settings.target_id,
+            "engine",
+            settings.availability_zone,
+            settings.listen,
+            engine.load(),
+            engine.models,
+            engine.role,
+            not settings.ignores_fencing,
+        )
 
     instruments = telemetry.Telemetry("engine", settings.target_id, settings.trace_file)
     await serve_target(
@@ -120,18 +118,14 @@
     service = standin_service.Service(names, settings.delay_seconds, settings.ledger_file)
 
     def describe():
-        return {
-            "id": settings.target_id,
-            "kind": "service",
-            "availability_zone": settings.availability_zone,
-            "address": settings.listen,
-            "models": [],
-            "role": "",
-            "load": service.load(),
-            "warm": [],
-            "honours_fencing": False,
-            "services": names,
-        }
+        return announcer.description(
+            settings.target_id,
+            "service",
+            settings.availability_zone,
+            settings.listen,
+            service.load(),
+            services=names,
+        )
 
     await serve_target(
         settings, standin_service.build_app(service), describe, lambda: service.open_calls == 0
