--- a/chiveswitch/core/control_state.py
+++ b/chiveswitch/core/control_state.py
@@ -16,7 +16,7 @@
 control_thrift = strict.load("control.thrift")
 
 FORMAT = 1
-SNAPSHOT_FORMAT = 1
+SNAPSHOT_FORMAT = 2
 HEADER = struct.Struct(">BBq")
 
 PENDING, UNCERTAIN, FINISHED, RELEASED = range(4)
@@ -204,6 +204,7 @@
         closed_requests: Keys of finished requests, oldest first.
         fences: FenceEntry by target, oldest first.
         audit: AuditEntry list, oldest first.
+        published: PublishedEntry of the route bundle in force, or None.
     """
 
     __slots__ = (
@@ -223,6 +224,7 @@
         "closed_requests",
         "fences",
         "audit",
+        "published",
     )
 
     def __init__(self, limits: Limits):
@@ -238,6 +240,7 @@
         self.closed_requests = {}
         self.fences = {}
         self.audit = []
+        self.published = None
 
     def apply(self, index: int, term: int, data: bytes) -> expression.Result:
         """Applies one committed command.
@@ -343,6 +346,7 @@
             fences=list(self.fences.values()),
             audit=list(self.audit),
             limits=self.limits.text(),
+            published=[] if self.published is None else [self.published],
         )
         return strict.encode(record)
 
@@ -375,6 +379,7 @@
     state.operations = {(entry.actor, entry.operation_id): entry for entry in record.operations}
     state.fences = {entry.target: entry for entry in record.fences}
     state.audit = record.audit
+    state.published = record.published[0] if record.published else None
     for entry in record.intents:
         state.intents[entry.account, entry.key] = entry
         if entry.state in (FINISHED, RELEASED):
--- a/chiveswitch/platform/controller.py
+++ b/chiveswitch/engine_orders/controller.py
@@ -4,7 +4,7 @@
 import logging
 
 from chiveswitch.core import clock, control_state, orders
-from chiveswitch.platform import orders_client
+from chiveswitch.engine_orders import orders_client
 
 log = logging.getLogger("chiveswitch.orders")
 
--- a/chiveswitch/platform/controller_test.py
+++ b/chiveswitch/engine_orders/controller_test.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from chiveswitch.core import bundles, bundles_test, control_state, directory, orders
-from chiveswitch.platform import controller, orders_client, weight_store
+from chiveswitch.engine_orders import controller, orders_client, weight_store
 from chiveswitch.targets import standin_engine
 from chiveswitch.tools import processes, serving
 
--- a/chiveswitch/platform/weight_store_test.py
+++ b/chiveswitch/engine_orders/weight_store_test.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from chiveswitch.platform import weight_store
+from chiveswitch.engine_orders import weight_store
 
 
 @hypothesis.settings(derandomize=True, max_examples=100, deadline=None, database=None)
--- a/chiveswitch/peers/control.thrift
+++ b/chiveswitch/peers/control.thrift
@@ -26,6 +26,9 @@
 struct FinishRequest { 1: required string account, 2: required string request_id,
   3: required i64 generation }
 struct NextFence { 1: required string target }
+// Writes, approves and rolls a route bundle; content is compressed JSON.
+struct PublishRoutes { 1: required string actor, 2: required i64 version,
+  3: required binary content, 4: required binary signature }
 
 struct Answer { 1: required i32 code, 2: required string message, 3: required string kind,
   4: required i64 number, 5: required binary digest, 6: required i32 status,
@@ -34,6 +37,8 @@
 struct BundleEntry { 1: required i64 version, 2: required binary content, 3: required binary digest,
   4: required string writer, 5: required string writer_key, 6: required string approver,
   7: required string approver_key }
+struct PublishedEntry { 1: required i64 version, 2: required binary content,
+  3: required binary digest, 4: required binary signature, 5: required string actor }
 struct OperationEntry { 1: required string actor, 2: required string operation_id,
   3: required binary command_digest, 4: required binary answer, 5: required i64 time_ms }
 // state: 0 pending, 1 uncertain, 2 finished, 3 released.
@@ -57,4 +62,5 @@
   8: required i64 rolled_version, 9: required i64 serial,
   10: required list<OperationEntry> operations, 11: required list<IntentEntry> intents,
   12: required list<RequestEntry> requests, 13: required list<FenceEntry> fences,
-  14: required list<AuditEntry> audit, 15: required string limits }
+  14: required list<AuditEntry> audit, 15: required string limits,
+  16: required list<PublishedEntry> published }
--- a/chiveswitch/peers/control_rpc.thrift
+++ b/chiveswitch/peers/control_rpc.thrift
@@ -27,3 +27,14 @@
   3: required string leader_address, 4: required bool found, 5: required binary body,
   6: required string owner, 7: required i64 generation, 8: required bool finished,
   9: required binary status }
+
+// Asks for the route bundle in force, confirmed by a majority.
+struct ReadPublished { 1: required i64 known_version }
+struct PublishedAnswer { 1: required i32 code, 2: required string message,
+  3: required string leader_address, 4: required i64 version, 5: required binary content,
+  6: required binary signature }
+
+// A process with a disk asks to become a member. is_member says whether it is one already.
+struct Join { 1: required string member_id, 2: required string address }
+struct JoinAnswer { 1: required i32 code, 2: required string message,
+  3: required string leader_address, 4: required bool is_member }
--- a/chiveswitch/tools/control.py
+++ b/chiveswitch/tools/control.py
@@ -18,7 +18,7 @@
 from chiveswitch.operators import app as operators_app
 from chiveswitch.operators import control_view
 from chiveswitch.peers import control_server, directory_feed
-from chiveswitch.platform import controller as controller_module
+from chiveswitch.engine_orders import controller as controller_module
 from chiveswitch.storage import data_folder, files
 from chiveswitch.tools import serving
 
--- a/chiveswitch/tools/standins.py
+++ b/chiveswitch/tools/standins.py
@@ -6,7 +6,7 @@
 
 from chiveswitch.core import settings as settings_module
 from chiveswitch.core import telemetry
-from chiveswitch.platform import weight_store
+from chiveswitch.engine_orders import weight_store
 from chiveswitch.targets import announcer, standin_engine, standin_service
 from chiveswitch.tools import serving
 
