--- /dev/null
+++ b/chiveswitch/peers/hub.thrift
@@ -0,0 +1,27 @@
+// Messages between nodes and hubs. A hub is a control member; it publishes what was reported to it.
+
+// born_ms and sequence order the reports of one target; state: 0 ready, 1 draining, 2 gone.
+struct TargetReport { 1: required string target_id, 2: required string service,
+  3: required string address, 4: required string availability_zone, 5: required i32 slots,
+  6: required i32 state, 7: required i64 born_ms, 8: required i64 sequence,
+  9: required bool overdue }
+
+// state: 0 ready, 1 draining, 2 gone.
+struct NodeReport { 1: required string name, 2: required i64 incarnation,
+  3: required string availability_zone, 4: required string region, 5: required string caller_address,
+  6: required string peer_address, 7: required i32 state }
+
+// Where the memory of a run is: state 0 running, 1 ended.
+struct RunReport { 1: required string run_id, 2: required string session, 3: required string target_id,
+  4: required string copy_target_id, 5: required i64 tokens, 6: required i32 state,
+  7: required string node, 8: required i64 sequence }
+
+struct Watch { 1: required NodeReport node, 2: required i64 hub_incarnation, 3: required i64 position,
+  4: required i64 known_version, 5: required bool wants_bundle, 6: required list<RunReport> runs }
+struct WatchAnswer { 1: required bool is_hub, 2: required i64 hub_incarnation, 3: required i64 position,
+  4: required i64 members_index, 5: required list<string> hubs, 6: required i64 version,
+  7: required binary content, 8: required binary signature, 9: required list<TargetReport> targets,
+  10: required list<NodeReport> nodes, 11: required list<RunReport> runs }
+
+struct Report { 1: required TargetReport target }
+struct ReportAnswer { 1: required bool accepted, 2: required string hub_address }
