--- a/chiveswitch/core/consensus.py
+++ b/chiveswitch/core/consensus.py
@@ -211,6 +211,28 @@
             return self._leadership.heartbeat_at
         return self._election_at
 
+    def committed_configuration(self) -> tuple[int, messages.Configuration]:
+        """Returns the latest committed configuration and its index."""
+        found = self.log.configurations[0]
+        for pair in self.log.configurations:
+            if pair[0] <= self.commit_index:
+                found = pair
+        return found
+
+    def silent_members(self, seconds: float, now: float) -> list[str]:
+        """Returns the members that a leader has not heard for some seconds; none elsewhere."""
+        if self._leadership is None:
+            return []
+        return [
+            member_id
+            for member_id, progress in self._leadership.progress_by_id.items()
+            if now - progress.heard_at > seconds
+        ]
+
+    def leader_age(self, now: float) -> float:
+        """Returns the seconds since the leader was heard; 0 on a leader with a majority."""
+        return 0.0 if self._leadership is not None else now - self._leader_contact_at
+
     # Timers and roles.
 
     def _arm_election_timer(self) -> None:
--- /dev/null
+++ b/chiveswitch/core/placement.py
@@ -0,0 +1,208 @@
+"""Where a request goes: targets by load, engines by queued prompts and memory, copies by zone."""
+
+import random
+
+from chiveswitch.core import target_table
+
+# Tokens that an engine reads in a second, for comparing queued prompts with running requests.
+READ_TOKENS_PER_SECOND = 8000.0
+# Seconds by which a running request delays another one at the same engine, in units of the score.
+RUNNING_WEIGHT = 0.15
+# What a target in another zone must be better by, in units of a full target.
+ZONE_WEIGHT = 0.05
+# What the average of failures weighs, in units of a full target.
+FAILURE_WEIGHT = 2.0
+# Gateways that know the same reports choose differently by up to this part of the score.
+SPREAD = 0.1
+# Seconds after which the record of a run whose end was never reported is dropped.
+RUN_MAX_SECONDS = 30.0
+
+
+class Run:
+    """Where one generation runs, and where the copy of its memory is.
+
+    Attributes:
+        run_id: Id of the request under which engines know the run.
+        session: Last part of the prompt, which a returning caller names again.
+        target_id: Engine that runs it.
+        copy_target_id: Engine that holds the copy, or an empty string.
+        tokens: Tokens of the prompt and the longest response.
+        reading: Tokens of the prompt that are not known to be read yet.
+        node: Gateway that reports the run.
+        sequence: Rises with each report of the run.
+        ended: Whether the run has ended.
+        changed_at: Time of the last report.
+    """
+
+    __slots__ = (
+        "run_id",
+        "session",
+        "target_id",
+        "copy_target_id",
+        "tokens",
+        "reading",
+        "node",
+        "sequence",
+        "ended",
+        "changed_at",
+    )
+
+    def __init__(self, run_id, session, tokens, reading, node, now):
+        self.run_id = run_id
+        self.session = session
+        self.target_id = ""
+        self.copy_target_id = ""
+        self.tokens = tokens
+        self.reading = reading
+        self.node = node
+        self.sequence = 0
+        self.ended = False
+        self.changed_at = now
+
+
+class RunTable:
+    """All runs that this gateway knows, its own and those that others report.
+
+    Attributes:
+        run_by_id: Runs by id, ended ones for a while.
+    """
+
+    __slots__ = ("run_by_id", "_id_by_session")
+
+    def __init__(self):
+        self.run_by_id = {}
+        self._id_by_session = {}
+
+    def put(self, run: Run):
+        """Adds or replaces a run."""
+        self.run_by_id[run.run_id] = run
+        if run.session:
+            self._id_by_session[run.session] = run.run_id
+
+    def of_session(self, session: str) -> Run | None:
+        """Returns the latest run of a session, or None."""
+        return self.run_by_id.get(self._id_by_session.get(session, ""))
+
+    def sweep(self, now: float):
+        """Drops runs whose last report is old."""
+        for run_id, run in list(self.run_by_id.items()):
+            if now - run.changed_at < RUN_MAX_SECONDS:
+                continue
+            del self.run_by_id[run_id]
+            if self._id_by_session.get(run.session) == run_id:
+                del self._id_by_session[run.session]
+
+    def load_by_target(self, now: float) -> dict:
+        """Returns (running, tokens held, tokens to read) by target id."""
+        load_by_id = {}
+        for run in self.run_by_id.values():
+            if run.ended:
+                continue
+            running, held, reading = load_by_id.get(run.target_id, (0, 0, 0))
+            # The engine reads while time passes; other gateways do not report how far it is.
+            left = max(0.0, run.reading - (now - run.changed_at) * READ_TOKENS_PER_SECOND / 2)
+            load_by_id[run.target_id] = (running + 1, held + run.tokens, reading + left)
+            if run.copy_target_id:
+                running, held, reading = load_by_id.get(run.copy_target_id, (0, 0, 0))
+                load_by_id[run.copy_target_id] = (running, held + run.tokens, reading)
+        return load_by_id
+
+
+def _preferred(targets, now):
+    """Returns the best group of targets: in good state, else overdue, else avoided ones."""
+    good = [each for each in targets if each.avoided_until <= now and not each.report.overdue]
+    if good:
+        return good
+    reachable = [each for each in targets if each.avoided_until <= now]
+    return reachable or list(targets)
+
+
+def choose_target(
+    targets: list[target_table.Target], zone: str, now: float, rng: random.Random
+) -> target_table.Target | None:
+    """Returns the better one of two random targets of a plain service, or None.
+
+    Args:
+        targets: Targets that may be chosen.
+        zone: Availability zone of the gateway.
+        now: Current time in seconds.
+        rng: Random source.
+    """
+    group = _preferred(targets, now)
+    if not group:
+        return None
+    if len(group) > 2:
+        group = rng.sample(group, 2)
+    best, best_score = None, 0.0
+    for target in group:
+        score = target.occupancy(now) + FAILURE_WEIGHT * target.failures
+        score += ZONE_WEIGHT * (target.zone != zone) + SPREAD * rng.random()
+        if best is None or score < best_score:
+            best, best_score = target, score
+    return best
+
+
+def choose_engine(
+    targets: list[target_table.Target],
+    load_by_id: dict,
+    engine,
+    tokens: int,
+    now: float,
+    rng: random.Random,
+) -> target_table.Target | None:
+    """Returns the engine at which a prompt is read and generated soonest, or None.
+
+    Args:
+        targets: Engines that may be chosen.
+        load_by_id: Load from `RunTable.load_by_target`.
+        engine: `routing.Engine` of the service.
+        tokens: Tokens of the prompt and the longest response.
+        now: Current time in seconds.
+        rng: Random source.
+    """
+    best, best_score = None, 0.0
+    for target in _preferred(targets, now):
+        running, held, reading = load_by_id.get(target.target_id, (0, 0, 0))
+        if now - target.load_at < target_table.LOAD_MAX_AGE_SECONDS:
+            running = max(running, sum(target.load))
+        score = reading / READ_TOKENS_PER_SECOND + RUNNING_WEIGHT * running
+        # A run that does not fit waits, or preempts another one, until memory is free.
+        score += max(0, held + tokens - engine.memory_tokens) / READ_TOKENS_PER_SECOND
+        score += max(0, running + 1 - engine.slots)
+        score += FAILURE_WEIGHT * target.failures + SPREAD * rng.random()
+        if best is None or score < best_score:
+            best, best_score = target, score
+    return best
+
+
+def choose_copy(
+    targets: list[target_table.Target],
+    load_by_id: dict,
+    engine,
+    tokens: int,
+    avoided_zones: set,
+    now: float,
+    rng: random.Random,
+) -> target_table.Target | None:
+    """Returns the engine with most free memory outside some zones for the copy of a run, or None.
+
+    Args:
+        targets: Engines that may be chosen.
+        load_by_id: Load from `RunTable.load_by_target`.
+        engine: `routing.Engine` of the service.
+        tokens: Tokens of the prompt and the longest response.
+        avoided_zones: Zones that may fail together with the run's own.
+        now: Current time in seconds.
+        rng: Random source.
+    """
+    best, best_score = None, 0.0
+    for target in targets:
+        if target.avoided_until > now or target.report.overdue or target.zone in avoided_zones:
+            continue
+        running, held, reading = load_by_id.get(target.target_id, (0, 0, 0))
+        if held + tokens > engine.memory_tokens or running >= engine.slots:
+            continue
+        score = held / engine.memory_tokens + running / engine.slots + SPREAD * rng.random()
+        if best is None or score < best_score:
+            best, best_score = target, score
+    return best
--- /dev/null
+++ b/chiveswitch/forwarding/forwarder.py
@@ -0,0 +1,254 @@
+"""Admission of forwarded requests: route, account, deadline, and the handler of the kind."""
+
+import random
+
+from chiveswitch.core import clock, codes, detector, placement, retry, routing
+from chiveswitch.forwarding import exchange, pool
+
+# Time in seconds that a caller without a stated patience waits; the route's timeout also holds.
+DEFAULT_WAIT_SECONDS = 60.0
+# What is kept of the time left for the response's way back, in seconds.
+RETURN_SECONDS = 0.01
+# Longest time in seconds after which a refused caller may return: a lost target is back by then.
+RETRY_AFTER_MAX_SECONDS = 2.0
+# Streams that arrive later than this part of the grace time after the stop began would be cut.
+STREAM_SHARE_OF_GRACE = 0.25
+
+HANDLER_BY_KIND = {}
+
+
+def handler(*kinds: routing.Kind):
+    """Registers the coroutine function that serves requests on routes of some kinds."""
+
+    def register(function):
+        for kind in kinds:
+            HANDLER_BY_KIND[kind] = function
+        return function
+
+    return register
+
+
+class Admitted:
+    """A request on its way through this gateway.
+
+    Attributes:
+        request: The `http_server.Request`.
+        responder: The `http_server.Responder`.
+        caller: The `exchange.CallerRequest`.
+        bundle: The `routing.RouteBundle` that was in force at its arrival.
+        route: Its `routing.Route`.
+        service: Its `routing.Service`.
+        account: Name of its client account, or None.
+        deadline: Time at which it has to be answered, in seconds of `core.clock`.
+        sends: Number of targets to which it was sent.
+        may_have_run: Whether a target may have run it.
+    """
+
+    __slots__ = (
+        "request",
+        "responder",
+        "caller",
+        "bundle",
+        "route",
+        "service",
+        "account",
+        "deadline",
+        "sends",
+        "may_have_run",
+    )
+
+    def __init__(self, request, responder, caller, bundle, route, service, account, deadline):
+        self.request = request
+        self.responder = responder
+        self.caller = caller
+        self.bundle = bundle
+        self.route = route
+        self.service = service
+        self.account = account
+        self.deadline = deadline
+        self.sends = 0
+        self.may_have_run = False
+
+    def left(self) -> float:
+        """Returns the seconds until the deadline."""
+        return self.deadline - clock.now()
+
+
+class Forwarder:
+    """Forwards the requests of one gateway.
+
+    Attributes:
+        dialect: The `exchange.Dialect` of the platform.
+        table: `target_table.TargetTable`.
+        runs: `placement.RunTable`.
+        pool: `pool.Pool`.
+        detector: Limits of silence by engine.
+        budget: Retry budget of this gateway.
+        bundle: The `routing.RouteBundle` in force, or None before the first one.
+        log: `decision_log.DecisionLog`.
+        metrics: `metrics.Metrics`.
+        zone: Own availability zone.
+        node_name: Own name.
+        report_run: Called with a `placement.Run` that has changed.
+        draining_since: Time at which the process began to stop, or None.
+    """
+
+    __slots__ = (
+        "dialect",
+        "table",
+        "runs",
+        "pool",
+        "detector",
+        "budget",
+        "bundle",
+        "log",
+        "metrics",
+        "zone",
+        "node_name",
+        "report_run",
+        "draining_since",
+        "last_stream_arrival_s",
+        "rng",
+    )
+
+    def __init__(self, dialect, table, log, metrics, settings, report_run):
+        """Creates a forwarder.
+
+        Args:
+            dialect: The `exchange.Dialect` of the platform.
+            table: `target_table.TargetTable`.
+            log: `decision_log.DecisionLog`.
+            metrics: `metrics.Metrics`.
+            settings: `node_settings.NodeSettings`.
+            report_run: Called with a `placement.Run` that has changed.
+        """
+        self.dialect = dialect
+        self.table = table
+        self.runs = placement.RunTable()
+        self.pool = pool.Pool()
+        self.detector = detector.AdaptiveDetector()
+        self.budget = retry.RetryBudget(settings.retry, clock.now())
+        self.bundle = None
+        self.log = log
+        self.metrics = metrics
+        self.zone = settings.availability_zone
+        self.node_name = settings.name
+        self.report_run = report_run
+        self.draining_since = None
+        self.last_stream_arrival_s = settings.stop_grace_s * STREAM_SHARE_OF_GRACE
+        self.rng = random.Random()
+
+    def limits(self) -> routing.Limits:
+        """Returns the limits in force."""
+        return routing.DEFAULT_LIMITS if self.bundle is None else self.bundle.limits
+
+    async def handle(self, request, responder):
+        """Serves one request of a caller to its end."""
+        caller = self.dialect.decode_request(request)
+        bundle = self.bundle
+        if bundle is None:
+            self.refuse(request, responder, caller, codes.Code.BUNDLE_STALE, "no bundle yet", 0.3)
+            return
+        host = request.value_by_header.get("host", "").partition(":")[0].lower()
+        route = bundle.match(host, request.path)
+        if route is None:
+            reason = f"no route for {host}{request.path[:80]}"
+            self.refuse(request, responder, caller, codes.Code.SERVICE_UNKNOWN, reason)
+            return
+        account = bundle.account_by_key.get(caller.key)
+        if bundle.accounts and not route.anonymous and account is None:
+            self.refuse(
+                request, responder, caller, codes.Code.UNAUTHENTICATED, "the key is unknown"
+            )
+            return
+        wait = route.timeout_s
+        if caller.wait_s is not None:
+            wait = min(wait, caller.wait_s)
+        admitted = Admitted(
+            request,
+            responder,
+            caller,
+            bundle,
+            route,
+            bundle.service_by_name[self._choose_service(route)],
+            account.name if account is not None else None,
+            request.received_at + wait - RETURN_SECONDS,
+        )
+        if caller.request_id == "":
+            self.refuse(request, responder, caller, codes.Code.BAD_REQUEST, "the id is missing")
+            return
+        self.metrics.count(f"requests_{route.kind}")
+        self.budget.admitted(admitted.account or "", clock.now())
+        await HANDLER_BY_KIND[route.kind](self, admitted)
+        self.metrics.observe(f"request_{route.kind}", clock.now() - request.received_at)
+
+    def _choose_service(self, route):
+        if len(route.weight_by_service) == 1:
+            return next(iter(route.weight_by_service))
+        names = list(route.weight_by_service)
+        return self.rng.choices(names, list(route.weight_by_service.values()))[0]
+
+    def may_retry(self, admitted: Admitted) -> bool:
+        """Says whether the retry budget permits one more send, and pays for it."""
+        permitted = self.budget.spend(admitted.account or "", clock.now()).is_ok()
+        if not permitted:
+            self.metrics.count("retries_denied")
+        return permitted
+
+    def options(self, admitted: Admitted, target) -> exchange.SendOptions:
+        """Returns the options of a send that starts now."""
+        return exchange.SendOptions(target.target_id, max(0.001, admitted.left()), admitted.account)
+
+    # Own answers.
+
+    def refuse(self, request, responder, caller, code, reason, retry_after_s=None):
+        """Answers with an own status; the log line names the cause."""
+        status = codes.MEANING_BY_CODE[code].http_status
+        self.metrics.count(f"refused_{code.name.lower()}")
+        self.log.line(
+            "gateway",
+            "refused",
+            request=caller.request_id,
+            code=int(code),
+            status=status,
+            reason=reason,
+            bundle=self.bundle.version if self.bundle is not None else 0,
+            retry_after=-1.0 if retry_after_s is None else retry_after_s,
+            waited=clock.now() - request.received_at,
+        )
+        headers = self.dialect.refusal_headers(caller, retry_after_s)
+        headers.append(("X-Chiveswitch-Code", str(int(code))))
+        responder.send(status, headers, b"")
+
+    def give_up(self, admitted: Admitted, code: codes.Code, reason: str, retry_after_s=None):
+        """Ends a request that cannot be served; says "not run" only if no target may have run it.
+
+        Args:
+            admitted: The request.
+            code: Result code if the request surely did not run.
+            reason: Cause for the log.
+            retry_after_s: Seconds after which the caller may return, if it did not run.
+        """
+        if admitted.may_have_run:
+            late = admitted.left() <= RETURN_SECONDS
+            code = codes.Code.MAY_HAVE_RUN if late else codes.Code.TARGET_FAILED
+            retry_after_s = None
+        self.refuse(
+            admitted.request, admitted.responder, admitted.caller, code, reason, retry_after_s
+        )
+
+    def answered(self, admitted: Admitted, target, status: int, events: int = 0):
+        """Logs the end of a request that a target answered."""
+        self.metrics.count(f"answered_{status // 100}xx")
+        self.log.line(
+            "gateway",
+            "answered",
+            request=admitted.caller.request_id,
+            route=admitted.route.name,
+            bundle=admitted.bundle.version,
+            target=target.target_id,
+            status=status,
+            sends=admitted.sends,
+            events=events,
+            took=clock.now() - admitted.request.received_at,
+        )
--- /dev/null
+++ b/chiveswitch/forwarding/streams.py
@@ -0,0 +1,429 @@
+"""Forwarded streams: events reach the caller as they arrive, and survive the loss of an engine.
+
+The engine sends a copy of the run's memory to an engine in another availability zone as it grows.
+After a loss the run continues there, within the same response, from the event after the last one
+that the caller has. Without a copy another engine reads the prompt again.
+"""
+
+import asyncio
+
+from chiveswitch.core import clock, codes, detector, events, placement, routing
+from chiveswitch.forwarding import channel as channels
+from chiveswitch.forwarding import forwarder as forwarding
+
+# Silence in seconds before the first event after which it is checked that the engine still
+# accepts connections. Reading a long prompt takes more than a second without being dead.
+CHECK_INTERVAL_SECONDS = 0.4
+# Longest wait in seconds for the connection of such a check.
+CHECK_SECONDS = 0.25
+# Part of the limit of silence at which the engine is checked ahead of a move.
+CHECK_SHARE = 0.6
+# Part of the longest pause that is on time after which a stream moves to its copy, even if its
+# engine accepts connections: the rest is needed to connect and to read what the copy lacks.
+MOVE_SHARE = 0.75
+# The same for a stream without a copy, for which a move means to read the whole prompt again.
+MOVE_SHARE_WITHOUT_COPY = 3.0
+# Longest pause in seconds on routes that state none.
+DEFAULT_GAP_SECONDS = 1.0
+# Engines that may turn a stream away before it is refused; each costs a round trip.
+MAX_REJECTIONS = 4
+# Seconds after which a refused caller may return: about the time until a running stream ends.
+FULL_RETRY_AFTER_SECONDS = 1.0
+# Seconds after which a caller of a stopping gateway may return, to another gateway.
+DRAINING_RETRY_AFTER_SECONDS = 0.05
+
+
+class Stream:
+    """One caller's stream while it is forwarded.
+
+    Attributes:
+        forwarder: The `forwarder.Forwarder`.
+        admitted: The `forwarder.Admitted`.
+        run: The `placement.Run`.
+        buffer: `events.EventBuffer` with the position of the caller.
+        delivered: Number of events handed to the caller.
+        excluded: Ids of targets that failed or turned the stream away.
+        continues: Whether the next send continues from the copy's memory.
+        first_target: The target whose response head the caller got, or None.
+        gap_s: Longest pause in seconds that is on time.
+    """
+
+    __slots__ = (
+        "forwarder",
+        "admitted",
+        "run",
+        "buffer",
+        "delivered",
+        "excluded",
+        "continues",
+        "first_target",
+        "gap_s",
+    )
+
+    def __init__(self, forwarder, admitted):
+        caller = admitted.caller
+        now = clock.now()
+        self.forwarder = forwarder
+        self.admitted = admitted
+        tokens = caller.prompt_tokens + caller.response_tokens
+        self.run = placement.Run(
+            caller.request_id,
+            caller.session,
+            tokens,
+            caller.prompt_tokens,
+            forwarder.node_name,
+            now,
+        )
+        self.buffer = events.EventBuffer(caller.last_event_id)
+        self.delivered = 0
+        self.excluded = set()
+        self.continues = False
+        self.first_target = None
+        self.gap_s = admitted.route.gap_objective_s or DEFAULT_GAP_SECONDS
+
+    # Where the run is.
+
+    def adopt(self):
+        """Continues a run that another gateway has begun, if its copy is known."""
+        known = self.forwarder.runs.of_session(self.admitted.caller.session)
+        if known is None or known.ended or self.admitted.caller.last_event_id is None:
+            return
+        holder = self.forwarder.table.find(known.copy_target_id)
+        if holder is None:
+            return
+        known.ended = True
+        self.run.run_id = known.run_id
+        self.run.copy_target_id = known.copy_target_id
+        self.run.sequence = known.sequence
+        self.continues = True
+
+    def publish(self):
+        """Reports the place of the run to the own table and to other gateways."""
+        run = self.run
+        run.sequence += 1
+        run.changed_at = clock.now()
+        self.forwarder.runs.put(run)
+        self.forwarder.report_run(run)
+
+    def choose(self):
+        """Returns (target, whether it holds the copy), or (None, False)."""
+        forwarder = self.forwarder
+        if self.continues:
+            self.continues = False
+            holder = forwarder.table.find(self.run.copy_target_id)
+            usable = holder is not None and not forwarder.table.is_draining(holder.target_id)
+            if usable and holder.target_id not in self.excluded:
+                return holder, True
+        now = clock.now()
+        targets = [
+            each
+            for each in forwarder.table.of_service(self.admitted.service.name)
+            if each.target_id not in self.excluded
+        ]
+        engine = self.admitted.service.engine
+        if engine is None:
+            return placement.choose_target(targets, forwarder.zone, now, forwarder.rng), False
+        loads = forwarder.runs.load_by_target(now)
+        chosen = placement.choose_engine(
+            targets, loads, engine, self.run.tokens, now, forwarder.rng
+        )
+        return chosen, False
+
+    def choose_copy(self, target) -> str:
+        """Chooses the engine that gets the copy; returns its address or an empty string."""
+        self.run.copy_target_id = ""
+        engine = self.admitted.service.engine
+        if engine is None or not engine.copies or not self.admitted.route.resumable:
+            return ""
+        forwarder = self.forwarder
+        now = clock.now()
+        holder = placement.choose_copy(
+            forwarder.table.of_service(self.admitted.service.name),
+            forwarder.runs.load_by_target(now),
+            engine,
+            self.run.tokens,
+            {target.zone},
+            now,
+            forwarder.rng,
+        )
+        if holder is None:
+            return ""
+        self.run.copy_target_id = holder.target_id
+        return holder.address
+
+    # One send.
+
+    async def open(self, target, from_copy) -> channels.Channel | None:
+        """Connects to a target and sends the request; None if it cannot be reached."""
+        forwarder, admitted = self.forwarder, self.admitted
+        channel = await forwarder.pool.acquire(
+            target.target_id, target.address, True, admitted.left()
+        )
+        if channel is None or forwarder.table.is_draining(target.target_id):
+            if channel is not None:
+                channel.abort()
+            return None
+        options = forwarder.options(admitted, target)
+        options.last_event_id = self.buffer.last_id
+        if from_copy:
+            options.memory_address = target.address
+            options.memory_run_id = self.run.run_id
+        options.copy_address = self.choose_copy(target)
+        self.run.target_id = target.target_id
+        self.run.run_id = admitted.caller.request_id
+        self.run.reading = 0 if from_copy else admitted.caller.prompt_tokens
+        self.publish()
+        admitted.sends += 1
+        self.buffer.restart()
+        channel.send(
+            forwarder.dialect.encode_request(admitted.request, admitted.caller, options),
+            forwarder.dialect.identity(admitted.caller),
+        )
+        return channel
+
+    async def relay(self, target, channel) -> str:
+        """Forwards events until the stream ends or cannot go on with this engine.
+
+        Returns:
+            `ended` if the caller has the whole response, `rejected` if the target did not run it,
+            else the cause of the loss.
+        """
+        forwarder, admitted = self.forwarder, self.admitted
+        dialect, responder = forwarder.dialect, admitted.responder
+        was_uncertain = admitted.may_have_run
+        admitted.may_have_run = True
+        heard_at = clock.now()
+        check = None
+        confirmed = False
+        got_events = False
+        accepted = False
+        intervals = forwarder.detector.intervals(target.target_id, detector.DECODE)
+        try:
+            while True:
+                response = channel.response
+                if response.status and not accepted:
+                    if response.status != 200 or not channel.is_for(admitted.caller.request_id):
+                        return await self.take_refusal(target, channel, was_uncertain)
+                    accepted = True
+                    reply = dialect.decode_response(response)
+                    if reply.load is not None:
+                        target.told_load(*reply.load, clock.now())
+                if accepted and response.body:
+                    data, count = self.buffer.feed(channel.take_body())
+                    now = clock.now()
+                    if count:
+                        if got_events:
+                            intervals.observe((now - heard_at) / count)
+                        if not got_events:
+                            got_events = True
+                            self.run.reading = 0
+                        target.heard(now)
+                        self.deliver(target, channel, data, count)
+                        await responder.drained()
+                    heard_at = now
+                    confirmed = False
+                if self.buffer.fault:
+                    return self.buffer.fault
+                if response.complete and accepted:
+                    return self.end(target, channel)
+                if channel.broken:
+                    return channel.broken
+                if admitted.left() <= 0:
+                    return "the deadline has passed"
+                if check is not None and check.done():
+                    if not check.result():
+                        return "no longer accepts connections"
+                    check, confirmed = None, True
+                    if not got_events:
+                        # The engine lives; it is checked again after another interval.
+                        heard_at, confirmed = clock.now(), False
+                limit, check_after = self.patience(intervals, got_events, confirmed)
+                silence = clock.now() - heard_at
+                if silence >= limit:
+                    return f"silent for {silence:.3f} s"
+                wait = min(limit - silence, admitted.left())
+                if check is None and not confirmed:
+                    wait = min(wait, max(0.0, check_after - silence))
+                    if wait <= 0:
+                        check = asyncio.get_running_loop().create_task(
+                            self.check_alive(target, channel)
+                        )
+                        continue
+                await channel.changed(wait)
+        finally:
+            if check is not None:
+                check.cancel()
+
+    def patience(self, intervals, got_events, confirmed) -> tuple[float, float]:
+        """Returns the seconds of silence after which the run moves, and after which to check."""
+        if not got_events:
+            return CHECK_INTERVAL_SECONDS + 2 * CHECK_SECONDS, CHECK_INTERVAL_SECONDS
+        learned = intervals.limit()
+        if self.run.copy_target_id:
+            longest = self.gap_s * MOVE_SHARE
+        else:
+            longest = self.gap_s * MOVE_SHARE_WITHOUT_COPY
+        limit = longest if confirmed else min(longest, max(learned, CHECK_SECONDS))
+        return limit, limit * CHECK_SHARE
+
+    async def check_alive(self, target, channel) -> bool:
+        """Says whether the engine still accepts connections."""
+        self.forwarder.metrics.count("liveness_checks")
+        opened = await channels.connect(target.address, target.target_id, CHECK_SECONDS)
+        if opened is not None:
+            opened.abort()
+        # Wakes the relay, which waits for the channel.
+        asyncio.get_running_loop().call_soon(channel.wake)
+        return opened is not None
+
+    def deliver(self, target, channel, data, count):
+        """Writes events to the caller, after the head of the first engine's response."""
+        responder = self.admitted.responder
+        if not responder.begun:
+            self.first_target = target
+            headers = self.forwarder.dialect.response_headers(channel.response)
+            responder.begin(channel.response.status, headers, channel.response.reason)
+            took = clock.now() - self.admitted.request.received_at
+            self.forwarder.metrics.observe("first_event", took)
+        self.delivered += count
+        responder.write(data)
+
+    def end(self, target, channel) -> str:
+        """Ends the response after the engine has ended the stream."""
+        if not self.buffer.is_between_events:
+            return "ended in the middle of an event"
+        responder = self.admitted.responder
+        if not responder.begun:
+            headers = self.forwarder.dialect.response_headers(channel.response)
+            responder.begin(channel.response.status, headers, channel.response.reason)
+        responder.finish()
+        self.forwarder.pool.release(channel)
+        self.forwarder.answered(self.admitted, target, 200, self.delivered)
+        return "ended"
+
+    async def take_refusal(self, target, channel, was_uncertain) -> str:
+        """Takes a response that is no stream."""
+        forwarder, admitted = self.forwarder, self.admitted
+        response = await channel.whole_response(clock.now() + CHECK_SECONDS)
+        if response is None:
+            return channel.broken or "an incomplete refusal"
+        reply = forwarder.dialect.decode_response(response)
+        status = response.status
+        now = clock.now()
+        target.heard(now)
+        if reply.load is not None:
+            target.told_load(*reply.load, now)
+        forwarder.pool.release(channel)
+        if reply.not_run:
+            admitted.may_have_run = was_uncertain
+            if reply.is_other_target:
+                forwarder.table.remove(target.target_id, now)
+            return "rejected"
+        if status == 200 or status >= 500 or status in (408, 421, 429):
+            return f"answered {status}"
+        if not admitted.responder.begun:
+            admitted.responder.send(
+                status,
+                forwarder.dialect.response_headers(response),
+                bytes(response.body),
+                response.reason,
+            )
+            forwarder.answered(admitted, target, status)
+            return "ended"
+        return f"answered {status}"
+
+
+@forwarding.handler(routing.Kind.STREAM)
+async def serve_stream(forwarder, admitted):
+    """Forwards a stream to its end, through the loss of engines."""
+    if forwarder.draining_since is not None:
+        if clock.now() - forwarder.draining_since > forwarder.last_stream_arrival_s:
+            forwarder.give_up(
+                admitted, codes.Code.DRAINING, "the gateway stops", DRAINING_RETRY_AFTER_SECONDS
+            )
+            return
+    stream = Stream(forwarder, admitted)
+    stream.adopt()
+    try:
+        await _serve(stream)
+    finally:
+        stream.run.ended = True
+        stream.publish()
+
+
+async def _serve(stream):
+    forwarder, admitted = stream.forwarder, stream.admitted
+    rejections = 0
+    runs = 0
+    reason = "no target"
+    while admitted.left() > 0:
+        target, from_copy = stream.choose()
+        if target is None:
+            if not stream.excluded or rejections >= MAX_REJECTIONS:
+                break
+            # Targets that failed earlier may be back.
+            stream.excluded.clear()
+            rejections += 1
+            await asyncio.sleep(CHECK_SECONDS / 2)
+            continue
+        channel = await stream.open(target, from_copy)
+        if channel is None:
+            target.missed(clock.now())
+            stream.excluded.add(target.target_id)
+            reason = f"{target.target_id} cannot be reached"
+            forwarder.metrics.count("connects_failed")
+            continue
+        try:
+            reason = await stream.relay(target, channel)
+        except BaseException:
+            channel.abort()
+            raise
+        if reason == "ended":
+            return
+        now = clock.now()
+        # The run must have stopped here before it goes on elsewhere.
+        channel.abort()
+        if reason == "rejected":
+            if not from_copy:
+                rejections += 1
+                stream.excluded.add(target.target_id)
+            if rejections >= MAX_REJECTIONS:
+                break
+        else:
+            runs += 1
+            target.missed(now)
+            stream.excluded = {target.target_id}
+            stream.continues = bool(stream.run.copy_target_id)
+            forwarder.metrics.count("streams_moved")
+        forwarder.log.line(
+            "gateway",
+            "stream_moves",
+            request=admitted.caller.request_id,
+            target=target.target_id,
+            zone=target.zone,
+            reason=reason,
+            copy=stream.run.copy_target_id,
+            from_copy=from_copy,
+            events=stream.delivered,
+            left=admitted.left(),
+        )
+        may_go_on = admitted.route.resumable or reason == "rejected"
+        if not may_go_on or runs >= admitted.route.max_runs:
+            break
+        if not from_copy and not forwarder.may_retry(admitted):
+            reason = f"{reason}; the retry budget is spent"
+            break
+    if admitted.responder.begun:
+        forwarder.metrics.count("streams_cut")
+        forwarder.log.line(
+            "gateway",
+            "stream_cut",
+            request=admitted.caller.request_id,
+            code=int(codes.Code.TARGET_FAILED),
+            reason=reason,
+            events=stream.delivered,
+            left=admitted.left(),
+        )
+        admitted.responder.abort()
+        return
+    forwarder.give_up(admitted, codes.Code.QUEUE_FULL, reason, FULL_RETRY_AFTER_SECONDS)
--- a/chiveswitch/peers/control_client.py
+++ b/chiveswitch/peers/control_client.py
@@ -135,6 +135,30 @@
         asked = await self._ask(kinds.Kind.CONTROL_READ, payload, rpc.ReadAnswer, deadline)
         return asked.map(lambda pair: pair[1]).map_error(_as_unavailable)
 
+    async def published(self, known_version: int, deadline: float) -> expression.Result:
+        """Reads the route bundle in force, confirmed by a majority.
+
+        Returns:
+            Ok with a PublishedAnswer of `control_rpc.thrift`, whose content is empty if its version
+            is the known one, or CONTROL_UNAVAILABLE.
+        """
+        payload = strict.encode(rpc.ReadPublished(known_version=known_version))
+        kind = kinds.Kind.CONTROL_PUBLISHED
+        asked = await self._ask(kind, payload, rpc.PublishedAnswer, deadline)
+        return asked.map(lambda pair: pair[1]).map_error(_as_unavailable)
+
+    async def join(self, member_id: str, address: str, deadline: float) -> expression.Result:
+        """Asks for membership; Ok says whether the process is a member, or CONTROL_UNAVAILABLE."""
+        payload = strict.encode(rpc.Join(member_id=member_id, address=address))
+        asked = await self._ask(kinds.Kind.CONTROL_JOIN, payload, rpc.JoinAnswer, deadline)
+        return asked.map(lambda pair: pair[1].is_member).map_error(_as_unavailable)
+
+    def learn(self, addresses: list):
+        """Replaces the addresses of the members after a membership change."""
+        self.addresses = list(addresses)
+        if self.leader not in self.addresses:
+            self.leader = self.addresses[0]
+
     async def status(self, deadline: float) -> expression.Result:
         """Returns Ok with the leader's status as JSON bytes, or CONTROL_UNAVAILABLE."""
         found = await self.find_request("", "", deadline)
--- a/chiveswitch/peers/control_server.py
+++ b/chiveswitch/peers/control_server.py
@@ -14,18 +14,35 @@
 import expression
 import orjson
 
-from chiveswitch.core import clock, codes, consensus, control_state, leases, telemetry
+from chiveswitch.core import (
+    clock,
+    codes,
+    consensus,
+    control_state,
+    leases,
+    publication,
+    telemetry,
+)
 from chiveswitch.core import consensus_messages as messages
 from chiveswitch.peers import consensus_codec, kinds, links, strict
 
 log = logging.getLogger("chiveswitch.control")
 
 rpc = strict.load("control_rpc.thrift")
+# The module registers its command.
+PUBLISH = publication.publish_routes
 
 DISK_FULL_PAUSE_SECONDS = 0.2
 # Heartbeats that arrive within this time share one round of the majority. With a round for each,
 # 100 gateways took 28 % of a core of the leader.
 HEARTBEAT_WINDOW_SECONDS = 0.05
+# Interval in seconds at which the leader looks for members that are gone.
+MEMBER_CHECK_SECONDS = 1.0
+# Silence in seconds after which a member counts as gone for good. Suspensions and cuts that the
+# users expect end within 8 s, and a member that was removed too early joins again.
+MEMBER_SILENCE_SECONDS = 10.0
+# Silence in seconds after which a member that catches up makes room for another one.
+LEARNER_SILENCE_SECONDS = 3.0
 
 
 class ControlServer:
@@ -47,6 +64,9 @@
         settings: consensus.Settings | None = None,
         rng: random.Random | None = None,
         instruments: telemetry.Telemetry | None = None,
+        handlers_by_kind: dict | None = None,
+        losses: int = 1,
+        on_applied=lambda: None,
     ):
         """Takes over an open data folder; must be called inside a running event loop.
 
@@ -59,6 +79,10 @@
             settings: Settings of the node, equal on all members.
             rng: Source of the election timeouts.
             instruments: Receives spans of proposals and counters; None for none.
+            handlers_by_kind: Handlers of further message kinds on the same address.
+            losses: Members that may be lost at the same time; members are removed only while
+                enough for this are left.
+            on_applied: Called after commands or a snapshot were applied.
         """
         self.address = address
         self.leases = None
@@ -95,9 +119,14 @@
                 kinds.Kind.CONTROL_HEARTBEAT: self._serve_heartbeat,
                 kinds.Kind.CONTROL_PROPOSE: self._serve_propose,
                 kinds.Kind.CONTROL_READ: self._serve_read,
+                kinds.Kind.CONTROL_PUBLISHED: self._serve_published,
+                kinds.Kind.CONTROL_JOIN: self._serve_join,
+                **(handlers_by_kind or {}),
             }
         )
         self._tasks = set()
+        self._losses = losses
+        self._on_applied = on_applied
 
     # Life of the server.
 
@@ -105,7 +134,7 @@
         """Starts to listen and to take part. Raises OSError if the address cannot be bound."""
         host, _, port = self.address.rpartition(":")
         await self._server.start(host, int(port))
-        for each in (self._main(), self._store()):
+        for each in (self._main(), self._store(), self._keep_members()):
             self._spawn(each)
 
     async def close(self):
@@ -265,9 +294,11 @@
             if entry.kind == messages.EntryKind.COMMAND:
                 result = self.state.apply(entry.index, entry.term, entry.data)
                 self._result_by_index[entry.index] = result
+        self._on_applied()
 
     def _restore(self, action):
         self.state = self._restored(action.snapshot.data)
+        self._on_applied()
 
     def _take_snapshot(self, action):
         self._post(messages.SnapshotTaken(action.index, self.state.snapshot()))
@@ -313,6 +344,83 @@
         if result.is_error():
             log.warning("control: the first operators were refused: %s", result.error.message)
 
+    # Members.
+
+    async def _keep_members(self):
+        """Removes members that are gone for good while enough others are left."""
+        while True:
+            await asyncio.sleep(MEMBER_CHECK_SECONDS)
+            configuration = self.node.log.configuration()
+            for member_id in self.node.silent_members(MEMBER_SILENCE_SECONDS, self._now()):
+                is_voter = member_id in configuration.voters
+                if is_voter and len(configuration.voters) <= 2 * self._losses + 1:
+                    continue
+                await self._remove(member_id, "silent")
+                break
+
+    async def _remove(self, member_id, reason):
+        result = await self.change_members(messages.RemoveMember(None, member_id))
+        outcome = "removed" if result.is_ok() else result.error.message
+        log.info("control: member %s (%s): %s", member_id, reason, outcome)
+
+    async def _serve_join(self, payload, _trace):
+        decoded = strict.decode(rpc.Join, payload)
+        if decoded.is_error():
+            return decoded
+        asked = decoded.ok
+        answer = rpc.JoinAnswer(
+            code=int(codes.Code.OK),
+            message="",
+            leader_address=self.leader_address(),
+            is_member=False,
+        )
+        if self.node.role != consensus.Role.LEADER:
+            answer.code = int(codes.Code.NOT_LEADER)
+            answer.message = "This member is not the leader."
+            return expression.Ok(strict.encode(answer))
+        members = self.node.log.configuration().members()
+        if asked.member_id in members:
+            answer.is_member = True
+            return expression.Ok(strict.encode(answer))
+        # Another id at the same address had a disk that is lost, and never comes back.
+        for member_id, address in members.items():
+            if address == asked.address:
+                await self._remove(member_id, "replaced at its address")
+                return expression.Ok(strict.encode(answer))
+        added = messages.AddMember(None, asked.member_id, asked.address)
+        result = await self.change_members(added)
+        if result.is_error():
+            answer.message = result.error.message
+            for member_id in self.node.log.configuration().learners:
+                if member_id in self.node.silent_members(LEARNER_SILENCE_SECONDS, self._now()):
+                    await self._remove(member_id, "does not catch up")
+        return expression.Ok(strict.encode(answer))
+
+    async def _serve_published(self, payload, _trace):
+        decoded = strict.decode(rpc.ReadPublished, payload)
+        if decoded.is_error():
+            return decoded
+        confirmed = await self.confirm()
+        answer = rpc.PublishedAnswer(
+            code=int(codes.Code.OK),
+            message="",
+            leader_address=self.leader_address(),
+            version=0,
+            content=b"",
+            signature=b"",
+        )
+        if confirmed.is_error():
+            answer.code = int(confirmed.error.code)
+            answer.message = confirmed.error.message
+            return expression.Ok(strict.encode(answer))
+        entry = self.state.published
+        if entry is not None:
+            answer.version = entry.version
+            if entry.version > decoded.ok.known_version:
+                answer.content = entry.content
+                answer.signature = entry.signature
+        return expression.Ok(strict.encode(answer))
+
     # Storage.
 
     async def _store(self):
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -1,7 +1,7 @@
 // Messages between nodes and hubs. A hub is a control member; it publishes what was reported to it.
 
 // born_ms and sequence order the reports of one target; state: 0 ready, 1 draining, 2 gone.
-struct TargetReport { 1: required string target_id, 2: required string service,
+struct TargetReport { 1: required string target_id, 2: required string service_name,
   3: required string address, 4: required string availability_zone, 5: required i32 slots,
   6: required i32 state, 7: required i64 born_ms, 8: required i64 sequence,
   9: required bool overdue }
--- a/chiveswitch/peers/kinds.py
+++ b/chiveswitch/peers/kinds.py
@@ -17,3 +17,4 @@
     CONTROL_JOIN = 44
     HUB_WATCH = 50
     HUB_REPORT = 51
+    HUB_REPORT_RUNS = 52
--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -13,6 +13,8 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 PING_INTERVAL_SECONDS = 0.3
+# For links whose calls show by themselves whether the peer lives.
+NO_PING_SECONDS = 3600.0
 # A link from which nothing came for this long is closed; open connections can go silent for good.
 SILENCE_LIMIT_SECONDS = 1.0
 RECONNECT_PAUSE_SECONDS = 0.1
@@ -150,10 +152,21 @@
         "_task",
         "_connected",
         "_wake",
+        "_ping_interval",
+        "_reset",
     )
 
-    def __init__(self, address: str, now=clock.now):
+    def __init__(self, address: str, now=clock.now, ping_interval: float = PING_INTERVAL_SECONDS):
+        """Starts to connect.
+
+        Args:
+            address: `host:port` of the peer.
+            now: Clock in seconds.
+            ping_interval: Idle seconds after which the peer is asked for a sign of life.
+        """
         self.address = address
+        self._ping_interval = ping_interval
+        self._reset = False
         self.heard_at = 0.0
         self.bytes_out = 0
         self.bytes_in = 0
@@ -175,6 +188,12 @@
         self._task.cancel()
         self._fail_waiting(codes.Code.LINK_CLOSED, "the link was closed")
 
+    def reset(self):
+        """Drops the connection, which may be silent, and opens a new one."""
+        if self._connected:
+            self._reset = True
+            self._wake.set()
+
     async def call(self, kind: int, payload: bytes, timeout: float, trace: str = ""):
         """Sends a request and waits for its reply.
 
@@ -245,6 +264,7 @@
                 await asyncio.sleep(RECONNECT_PAUSE_SECONDS)
                 continue
             self._connected = True
+            self._reset = False
             self.heard_at = self._now()
             receiver = asyncio.ensure_future(self._receive(reader))
             try:
@@ -252,11 +272,14 @@
             finally:
                 self._connected = False
                 receiver.cancel()
+                if self._reset:
+                    # What is queued for a silent peer would keep the socket open.
+                    writer.transport.abort()
                 writer.close()
                 self._fail_waiting(codes.Code.LINK_CLOSED, f"lost {self.address}")
 
     async def _send(self, writer, receiver):
-        while not receiver.done():
+        while not receiver.done() and not self._reset:
             if self._outbox:
                 # All frames of one wake-up go out in one write.
                 data = b"".join(self._outbox)
@@ -265,7 +288,7 @@
                 writer.write(data)
             self._wake.clear()
             try:
-                async with asyncio.timeout(PING_INTERVAL_SECONDS):
+                async with asyncio.timeout(self._ping_interval):
                     await self._wake.wait()
                 continue
             except TimeoutError:
--- /dev/null
+++ b/chiveswitch/platform/boot.py
@@ -0,0 +1,94 @@
+"""The platform's settings file, decoded into the settings of a node."""
+
+import os
+import pathlib
+import tomllib
+
+import expression
+
+from chiveswitch.core import codes, node_settings
+
+FILE_VARIABLE = "CHIVESWITCH_BOOT"
+SECRET_VARIABLE = "CHIVESWITCH_OPERATOR_SECRET"
+METRICS_VARIABLE = "CHIVESWITCH_METRICS"
+TTL_VARIABLE = "CHIVESWITCH_ADDRESS_TTL"
+
+# Seconds that callers keep an answer of the directory; some keep it three times as long, which
+# has to end within the grace time of a stop.
+DEFAULT_TTL_SECONDS = 2.0
+# Used if the file lacks a bound: the values that the users state for their first deployments.
+DEFAULT_RETRY_RATIO = 0.8
+DEFAULT_RETRY_SLACK = 150
+DEFAULT_WINDOW_SECONDS = 10
+DEFAULT_GRACE_SECONDS = 8
+DEFAULT_HEARTBEAT_MS = 1200
+
+
+class Boot:
+    """What the daemon is started with.
+
+    Attributes:
+        settings: `node_settings.NodeSettings`.
+        serves: What the role serves besides callers: `control`, `directory`.
+    """
+
+    __slots__ = ("settings", "serves")
+
+    def __init__(self, settings, serves):
+        self.settings = settings
+        self.serves = serves
+
+
+def read(environment=os.environ) -> expression.Result:
+    """Returns Ok with the `Boot` of the process, or a list of failures."""
+    path = environment.get(FILE_VARIABLE, "")
+    try:
+        fields = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        boot = _decode(fields, environment)
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        message = f"{FILE_VARIABLE}={path!r}: {error}"
+        return expression.Error([codes.Failure(codes.Code.SETTING_INVALID, message)])
+    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+        message = f"{path}: a field is missing or has another type: {error!r}"
+        return expression.Error([codes.Failure(codes.Code.SETTING_INVALID, message)])
+    errors = node_settings.check(boot.settings)
+    return expression.Error(errors) if errors else expression.Ok(boot)
+
+
+def _decode(fields, environment):
+    bounds = fields.get("bounds", {})
+    listen = fields["listen"]
+    own_ip = fields["ip"]
+    peer_port = fields["internal-port-range"][0]
+    metrics_port, _, metrics_path = environment.get(METRICS_VARIABLE, "").partition("/")
+    settings = node_settings.NodeSettings(
+        name=fields["node-name"],
+        availability_zone=fields["zone"],
+        region=fields["region"],
+        region_by_zone=dict(fields.get("zones", {})),
+        peer_address=f"{own_ip}:{peer_port}",
+        # The file names control addresses; the internal ports are the same on all machines.
+        seeds=[f"{seed.rpartition(':')[0]}:{peer_port}" for seed in fields["seeds"]],
+        first_start=fields.get("bootstrap", False),
+        data_folder=fields.get("data-dir", ""),
+        losses=fields.get("fault-tolerance", {}).get("machines", 1),
+        caller_address=listen["front"],
+        ready_address=listen["ready"],
+        control_address=listen.get("control", ""),
+        directory_address=listen.get("directory", ""),
+        metrics_address=f"{own_ip}:{metrics_port}" if metrics_port else "",
+        metrics_path=f"/{metrics_path}",
+        heartbeat_s=fields.get("heartbeat-ms", DEFAULT_HEARTBEAT_MS) / 1000,
+        stop_grace_s=float(bounds.get("grace-s", DEFAULT_GRACE_SECONDS)),
+        address_ttl_s=min(
+            float(environment.get(TTL_VARIABLE, DEFAULT_TTL_SECONDS)),
+            float(bounds.get("ttl_max_s", DEFAULT_TTL_SECONDS)),
+        ),
+        operator_secret=environment.get(SECRET_VARIABLE, ""),
+        retry=node_settings.retry_settings(
+            bounds.get("retry-budget-ratio", DEFAULT_RETRY_RATIO),
+            bounds.get("budget-slack", DEFAULT_RETRY_SLACK),
+            bounds.get("budget-window-s", DEFAULT_WINDOW_SECONDS),
+        ),
+    )
+    return Boot(settings, list(fields["serves"]))
--- /dev/null
+++ b/chiveswitch/platform/daemon.py
@@ -0,0 +1,27 @@
+"""The program that the platform starts on each machine: one node with all roles."""
+
+import sys
+
+from chiveswitch.platform import api, boot, headers
+from chiveswitch.tools import node
+
+
+def main():
+    """Reads the platform's settings and runs the node; prints every error of the settings."""
+    read = boot.read()
+    if read.is_error():
+        for failure in read.error:
+            print(f"{int(failure.code)} {failure.code.name} {failure.message}", file=sys.stderr)
+        sys.exit(node.EXIT_SETTINGS)
+    settings = read.ok.settings
+    listeners = [node.ApiListener(settings.ready_address, api.handle)]
+    for address in (settings.control_address, settings.directory_address):
+        if address:
+            listeners.append(node.ApiListener(address, api.handle))
+    if settings.metrics_address:
+        listeners.append(node.ApiListener(settings.metrics_address, api.handle_metrics))
+    node.run(settings, headers.Dialect(), listeners)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chiveswitch/platform/headers.py
@@ -0,0 +1,161 @@
+"""Headers of the platform's callers and workers, decoded into the product's types and back."""
+
+from chiveswitch.forwarding import exchange
+
+REQUEST_ID = "X-Request-Id"
+DEADLINE_MS = "X-Deadline-Ms"
+# The platform's "usage" is what may be used: prompt tokens, and the most output tokens.
+TOKEN_USAGE = "X-Token-Usage"
+PROMPT_PREFIX = "X-Prompt-Prefix"
+LAST_EVENT_ID = "Last-Event-Id"
+# A worker's id names one start of it, not a place.
+EXPECT_INSTANCE = "X-Expect-Instance"
+# The platform says tenant for a client account.
+TENANT = "X-Tenant"
+BACKUP = "X-Kv-Backup"
+KV_FROM = "Kv-From"
+NOT_EXECUTED = "x-not-executed"
+INSTANCE_LOAD = "x-instance-load"
+MISDIRECTED = 421
+
+# Headers that concern one connection only, or that the system sets itself.
+DROPPED_FROM_CALLERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+        "accept-encoding",
+        "authorization",
+        "x-tenant",
+        "x-deadline-ms",
+        "last-event-id",
+        "x-expect-instance",
+        "x-request-priority",
+        "x-hold",
+        "x-pin-ms",
+        "x-kv-backup",
+        "kv-from",
+        "kv-fetch",
+    )
+)
+DROPPED_FROM_WORKERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "x-instance-load",
+    )
+)
+MS = 1000.0
+
+
+def _number(text: str | None) -> float | None:
+    try:
+        value = float(text)
+    except (TypeError, ValueError):
+        return None
+    return value if 0 <= value < 1e12 else None
+
+
+def _is_safe(text: str) -> bool:
+    return "\r" not in text and "\n" not in text and "\0" not in text
+
+
+class Dialect(exchange.Dialect):
+    """The platform's headers."""
+
+    __slots__ = ()
+
+    def decode_request(self, request) -> exchange.CallerRequest:
+        """Decodes a caller's headers."""
+        value_by_header = request.value_by_header
+        caller = exchange.CallerRequest()
+        caller.request_id = value_by_header.get("x-request-id", "")
+        scheme, _, key = value_by_header.get("authorization", "").partition(" ")
+        if scheme.lower() == "bearer" and key:
+            caller.key = key.strip()
+        wait_ms = _number(value_by_header.get("x-deadline-ms"))
+        caller.wait_s = None if wait_ms is None else wait_ms / MS
+        last_event_id = value_by_header.get("last-event-id", "")
+        if last_event_id.isdigit():
+            caller.last_event_id = int(last_event_id)
+        usage = value_by_header.get("x-token-usage", "").split(",")
+        if len(usage) == 2:
+            caller.prompt_tokens = int(_number(usage[0]) or 0)
+            caller.response_tokens = int(_number(usage[1]) or 0)
+        last_part = value_by_header.get("x-prompt-prefix", "").rpartition(",")[2]
+        caller.session = last_part.partition(":")[0].strip()
+        dropped = set()
+        for name in value_by_header.get("connection", "").lower().split(","):
+            dropped.add(name.strip())
+        for name, value in request.headers:
+            lower = name.lower()
+            if lower in DROPPED_FROM_CALLERS or lower in dropped or not _is_safe(value):
+                continue
+            caller.forwarded.append((name, value))
+        return caller
+
+    def encode_request(self, request, caller, options) -> bytes:
+        """Returns the request for a worker."""
+        lines = [f"{request.method} {request.target} HTTP/1.1\r\n"]
+        for name, value in caller.forwarded:
+            lines.append(f"{name}: {value}\r\n")
+        lines.append(f"{DEADLINE_MS}: {int(options.wait_s * MS)}\r\n")
+        lines.append(f"{EXPECT_INSTANCE}: {options.target_id}\r\n")
+        if options.account is not None:
+            lines.append(f"{TENANT}: {options.account}\r\n")
+        if options.last_event_id is not None:
+            lines.append(f"{LAST_EVENT_ID}: {options.last_event_id}\r\n")
+        if options.copy_address:
+            lines.append(f"{BACKUP}: {options.copy_address}\r\n")
+        if options.memory_address:
+            lines.append(f"{KV_FROM}: {options.memory_address}/{options.memory_run_id}\r\n")
+        if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+            lines.append(f"Content-Length: {len(request.body)}\r\n")
+        lines.append("\r\n")
+        return "".join(lines).encode("latin-1") + bytes(request.body)
+
+    def identity(self, caller) -> tuple[str, str]:
+        """Returns the header by which workers echo the request's id."""
+        return REQUEST_ID.lower(), caller.request_id
+
+    def decode_response(self, response) -> exchange.Reply:
+        """Decodes a worker's headers."""
+        value_by_header = response.value_by_header
+        is_other = response.status == MISDIRECTED
+        not_run = is_other or NOT_EXECUTED in value_by_header
+        load = None
+        # Running requests, waiting requests and slots.
+        parts = value_by_header.get(INSTANCE_LOAD, "").split(",")
+        if len(parts) == 3 and parts[0].strip().isdigit() and parts[1].strip().isdigit():
+            load = (int(parts[0]), int(parts[1]))
+        return exchange.Reply(not_run, is_other, load)
+
+    def response_headers(self, response) -> list[tuple[str, str]]:
+        """Returns a worker's headers without those of its connection."""
+        return [
+            (name, value)
+            for name, value in response.headers
+            if name.lower() not in DROPPED_FROM_WORKERS
+        ]
+
+    def refusal_headers(self, caller, retry_after_s) -> list[tuple[str, str]]:
+        """Returns the headers of an own refusal; the platform reads fractions of a second."""
+        headers = []
+        if caller.request_id:
+            headers.append((REQUEST_ID, caller.request_id))
+        if retry_after_s is not None:
+            headers.append(("Retry-After", f"{retry_after_s:.2f}"))
+        return headers
