--- a/chiveswitch/core/consensus.py
+++ b/chiveswitch/core/consensus.py
@@ -28,12 +28,15 @@
     """Times in seconds, sizes in bytes or entries.
 
     The election timeout is drawn between its two bounds for each wait. With a one-way latency of
-    1 ms a dead leader is replaced within 2 s even if the first candidate fails.
+    1 ms a dead leader is replaced within 2 s even if the first candidate fails. The first wait after
+    a start is at most `first_election_max`: after a restart of all members nobody leads, and where
+    somebody does, the pre-vote is refused.
     """
 
     __slots__ = (
         "election_timeout_min",
         "election_timeout_max",
+        "first_election_max",
         "heartbeat_interval",
         "max_entries",
         "max_bytes",
@@ -49,6 +52,7 @@
         self,
         election_timeout_min: float = 0.6,
         election_timeout_max: float = 1.2,
+        first_election_max: float = 0.4,
         heartbeat_interval: float = 0.15,
         max_entries: int = 512,
         max_bytes: int = 256 * 1024,
@@ -61,6 +65,7 @@
     ):
         self.election_timeout_min = election_timeout_min
         self.election_timeout_max = election_timeout_max
+        self.first_election_max = first_election_max
         self.heartbeat_interval = heartbeat_interval
         self.max_entries = max_entries
         self.max_bytes = max_bytes
@@ -179,7 +184,7 @@
         self._snapshot_requested = False
         self._reported_role = (Role.FOLLOWER, self.term, None)
         self._reported_configuration = self.log.configuration_index()
-        self._arm_election_timer()
+        self._election_at = now + random_source.uniform(0.0, settings.first_election_max)
 
     def handle(self, event: messages.Record, now: float) -> list[messages.Record]:
         """Takes one event and returns the actions that follow, in order."""
--- a/chiveswitch/peers/control_server.py
+++ b/chiveswitch/peers/control_server.py
@@ -20,8 +20,8 @@
     consensus,
     control_state,
     leases,
+    no_telemetry,
     publication,
-    telemetry,
 )
 from chiveswitch.core import consensus_messages as messages
 from chiveswitch.peers import consensus_codec, kinds, links, strict
@@ -63,7 +63,7 @@
         limits: control_state.Limits | None = None,
         settings: consensus.Settings | None = None,
         rng: random.Random | None = None,
-        instruments: telemetry.Telemetry | None = None,
+        instruments=None,
         handlers_by_kind: dict | None = None,
         losses: int = 1,
         on_applied=lambda: None,
@@ -78,7 +78,7 @@
             limits: Limits of the control state, equal on all members.
             settings: Settings of the node, equal on all members.
             rng: Source of the election timeouts.
-            instruments: Receives spans of proposals and counters; None for none.
+            instruments: `telemetry.Telemetry` for spans of proposals and counters; None for none.
             handlers_by_kind: Handlers of further message kinds on the same address.
             losses: Members that may be lost at the same time; members are removed only while
                 enough for this are left.
@@ -90,7 +90,7 @@
         self._folder = folder
         self._operators = operators or []
         self._limits = limits or control_state.Limits()
-        self._telemetry = instruments or telemetry.Telemetry("control", folder.node_id)
+        self._telemetry = instruments or no_telemetry.NoTelemetry()
         self._now = clock.now
         stored = folder.stored
         self.state = self._restored(stored.snapshot.data)
--- a/chiveswitch/peers/directory_codec.py
+++ b/chiveswitch/peers/directory_codec.py
@@ -1,19 +1,16 @@
 """Bytes of the pull messages between gateways, in the `thrift` binary protocol."""
 
 import math
-import pathlib
 
 import expression
-import thriftpy2
 import xxhash
 from thriftpy2.protocol import cybin
 from thriftpy2.transport import memory
 
 from chiveswitch.core import codes, directory
+from chiveswitch.peers import strict
 
-_IDL = thriftpy2.load(
-    str(pathlib.Path(__file__).with_name("directory.thrift")), module_name="directory_thrift"
-)
+_IDL = strict.load("directory.thrift", "directory_thrift")
 _MAX_I16 = (1 << 15) - 1
 _MAX_I64 = (1 << 63) - 1
 _TICKS_PER_S = 100
--- a/chiveswitch/peers/frames.py
+++ b/chiveswitch/peers/frames.py
@@ -1,10 +1,8 @@
 """Frames between own processes: a four-byte length, then a thrift envelope."""
 
-import pathlib
 import struct
 
 import expression
-import thriftpy2
 from thriftpy2.protocol import cybin
 from thriftpy2.transport import memory
 
@@ -15,9 +13,7 @@
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 LENGTH = struct.Struct("!I")
 
-idl = thriftpy2.load(
-    str(pathlib.Path(__file__).parent / "link.thrift"), module_name="chiveswitch_link_thrift"
-)
+idl = strict.load("link.thrift", "chiveswitch_link_thrift")
 
 
 def encode_struct(value) -> bytes:
--- a/chiveswitch/peers/journal_codec.py
+++ b/chiveswitch/peers/journal_codec.py
@@ -7,20 +7,17 @@
 """
 
 import math
-import pathlib
 import struct
 
 import expression
-import thriftpy2
 import thriftpy2.protocol.cybin as cybin
 import thriftpy2.thrift as thrift
 import thriftpy2.transport.memory as memory
 
 from chiveswitch.core import codes, journal
+from chiveswitch.peers import strict
 
-idl = thriftpy2.load(
-    str(pathlib.Path(__file__).with_name("journal.thrift")), module_name="journal_thrift"
-)
+idl = strict.load("journal.thrift", "journal_thrift")
 
 MAX_DEPTH = 16
 FIXED_SIZE_BY_TYPE = {
--- a/chiveswitch/peers/strict.py
+++ b/chiveswitch/peers/strict.py
@@ -9,8 +9,9 @@
 import struct
 
 import expression
-import thriftpy2
+from ply import lex, yacc
 from thriftpy2 import thrift, utils
+from thriftpy2.parser import parser as idl_parser
 
 from chiveswitch.core import codes
 
@@ -29,10 +30,16 @@
     """Bytes that do not fit the IDL; never leaves this module."""
 
 
-def load(file_name: str):
+# Building the tables of the IDL grammar takes most of the time of a load, so all loads share them.
+LEXER = lex.lex(module=idl_parser)
+PARSER = yacc.yacc(module=idl_parser, debug=False, write_tables=False)
+
+
+def load(file_name: str, module_name: str = ""):
     """Loads an IDL file of this package and returns its module of struct classes."""
     path = pathlib.Path(__file__).with_name(file_name)
-    return thriftpy2.load(str(path), f"{path.stem}_thrift")
+    name = module_name or f"{path.stem}_thrift"
+    return idl_parser.parse(str(path), name, lexer=LEXER, parser=PARSER)
 
 
 def encode(record) -> bytes:
