Draw three engines, share losses between gateways and copy again after a holder is lost

Gateways that move runs at the same moment all chose the engine that looked emptiest; copies were ordered at engines that had just died with their zone; and a run whose copy was lost with its holder had to be read again at the next loss. Ruled out: slow detection (pauses of moves with a copy were 0.2 to 0.5 s). Copies are refused before the first event, so that none is asked for then.

--- a/chiveswitch/core/consensus.py
+++ b/chiveswitch/core/consensus.py
@@ -28,9 +28,9 @@
     """Times in seconds, sizes in bytes or entries.
 
     The election timeout is drawn between its two bounds for each wait. With a one-way latency of
-    1 ms a dead leader is replaced within 2 s even if the first candidate fails. The first wait after
-    a start is at most `first_election_max`: after a restart of all members nobody leads, and where
-    somebody does, the pre-vote is refused.
+    1 ms a dead leader is replaced within 2 s even if the first candidate fails. The first wait of a
+    started node is at most `first_election_max`: after a restart of all members nobody leads, and
+    where somebody does, the pre-vote is refused.
     """
 
     __slots__ = (
--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -14,6 +14,9 @@
 FAILURE_WEIGHT = 2.0
 # Gateways that know the same reports choose differently by up to this part of the score.
 SPREAD = 0.1
+# Engines that are drawn at random before the best of them is chosen. Gateways decide at the same
+# moment on the same reports, above all after the loss of a zone; one engine would get all runs.
+DRAWN_ENGINES = 3
 # Seconds after which the record of a run whose end was never reported is dropped.
 RUN_MAX_SECONDS = 30.0
 
@@ -26,6 +29,7 @@
         session: Last part of the prompt, which a returning caller names again.
         target_id: Engine that runs it.
         copy_target_id: Engine that holds the copy, or an empty string.
+        copy_reference: How engines name that copy, or an empty string.
         tokens: Tokens of the prompt and the longest response.
         reading: Tokens of the prompt that are not known to be read yet.
         node: Gateway that reports the run.
@@ -39,6 +43,7 @@
         "session",
         "target_id",
         "copy_target_id",
+        "copy_reference",
         "tokens",
         "reading",
         "node",
@@ -52,6 +57,7 @@
         self.session = session
         self.target_id = ""
         self.copy_target_id = ""
+        self.copy_reference = ""
         self.tokens = tokens
         self.reading = reading
         self.node = node
@@ -161,7 +167,8 @@
         rng: Random source.
     """
     best, best_score = None, 0.0
-    for target in _preferred(targets, now):
+    group = _preferred(targets, now)
+    for target in rng.sample(group, min(DRAWN_ENGINES, len(group))):
         running, held, reading = load_by_id.get(target.target_id, (0, 0, 0))
         if now - target.load_at < target_table.LOAD_MAX_AGE_SECONDS:
             running = max(running, sum(target.load))
@@ -196,9 +203,12 @@
         rng: Random source.
     """
     best, best_score = None, 0.0
+    group = []
     for target in targets:
         if target.avoided_until > now or target.report.overdue or target.zone in avoided_zones:
             continue
+        group.append(target)
+    for target in rng.sample(group, min(DRAWN_ENGINES, len(group))):
         running, held, reading = load_by_id.get(target.target_id, (0, 0, 0))
         if held + tokens > engine.memory_tokens or running >= engine.slots:
             continue
--- a/chiveswitch/core/target_table.py
+++ b/chiveswitch/core/target_table.py
@@ -8,6 +8,11 @@
 AVOID_SECONDS = 1.0
 # Longest time in seconds that repeated failures keep a target avoided.
 AVOID_MAX_SECONDS = 4.0
+# Seconds in which the loss of several targets of a zone counts as the loss of the zone, and the
+# part of its targets that must be lost, two at least.
+ZONE_WINDOW_SECONDS = 0.8
+ZONE_LOST_SHARE = 0.2
+ZONE_LOST_MIN = 2
 # Seconds without a confirmation by any hub after which a target counts as overdue.
 UNCONFIRMED_SECONDS = 5.0
 # Seconds for which the start of a target that has gone is remembered, against late reports.
@@ -117,6 +122,9 @@
 
     def missed(self, now: float):
         """Notes that the target could not be reached or fell silent."""
+        # Several requests may notice one loss.
+        if self.avoided_until > now:
+            return
         self._misses += 1
         self.avoided_until = now + min(AVOID_SECONDS * self._misses, AVOID_MAX_SECONDS)
 
@@ -148,11 +156,14 @@
     Attributes:
         target_by_id: Targets that are ready, draining or overdue.
         on_gone: Called with the id of a target that may get no more requests.
+        on_lost: Called with the id of a target that a request of this gateway has lost.
     """
 
     __slots__ = (
         "target_by_id",
         "on_gone",
+        "on_lost",
+        "_losses_by_zone",
         "_ids_by_service",
         "_listed_by_hub",
         "_confirmed_at_by_id",
@@ -160,9 +171,11 @@
         "_id_by_address",
     )
 
-    def __init__(self, on_gone=lambda target_id: None):
+    def __init__(self, on_gone=lambda target_id: None, on_lost=lambda target_id: None):
         self.target_by_id = {}
         self.on_gone = on_gone
+        self.on_lost = on_lost
+        self._losses_by_zone = {}
         self._ids_by_service = {}
         self._listed_by_hub = {}
         self._confirmed_at_by_id = {}
@@ -243,6 +256,36 @@
         if target is not None:
             self._remove(target_id, target.report, now)
 
+    def lost(self, target: Target, now: float):
+        """Notes that a request could not reach a target or lost it, and tells other gateways."""
+        if target.avoided_until <= now:
+            self.on_lost(target.target_id)
+        self._note_loss(target, now)
+
+    def lost_elsewhere(self, target_id: str, now: float) -> bool:
+        """Notes another gateway's loss; returns whether the target was not avoided before."""
+        target = self.target_by_id.get(target_id)
+        if target is None or target.avoided_until > now:
+            return False
+        self._note_loss(target, now)
+        return True
+
+    def _note_loss(self, target, now):
+        target.missed(now)
+        key = (target.report.service, target.zone)
+        lost_at_by_id = self._losses_by_zone.setdefault(key, {})
+        lost_at_by_id[target.target_id] = now
+        for target_id, lost_at in list(lost_at_by_id.items()):
+            if now - lost_at > ZONE_WINDOW_SECONDS:
+                del lost_at_by_id[target_id]
+        peers = [each for each in self.of_service(key[0]) if each.zone == target.zone]
+        if len(lost_at_by_id) < max(ZONE_LOST_MIN, ZONE_LOST_SHARE * len(peers)):
+            return
+        # Targets of a zone fail together: the others are avoided before a request is lost there.
+        for peer in peers:
+            if now - peer.heard_at > ZONE_WINDOW_SECONDS / 4:
+                peer.missed(now)
+
     def reset_hub(self, hub: str):
         """Forgets what a hub listed, because it has restarted or is no hub any more."""
         self._listed_by_hub.pop(hub, None)
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -46,7 +46,7 @@
             target.target_id, target.address, not repeatable, admitted.left()
         )
         if channel is None:
-            target.missed(clock.now())
+            forwarder.table.lost(target, clock.now())
             excluded.add(target.target_id)
             reason = f"{target.target_id} cannot be reached"
             forwarder.metrics.count("connects_failed")
@@ -123,6 +123,17 @@
     dialect = forwarder.dialect
     options = forwarder.options(admitted, target)
     admitted.sends += 1
+    forwarder.log.line(
+        "gateway",
+        "sent",
+        request=admitted.caller.request_id,
+        route=admitted.route.name,
+        bundle=admitted.bundle.version,
+        target=target.target_id,
+        zone=target.zone,
+        load_age=started - target.load_at if target.load_at else -1.0,
+        left=admitted.left(),
+    )
     was_uncertain = admitted.may_have_run
     # Until the target has stated otherwise, a byte that was sent may have made it run.
     admitted.may_have_run = True
@@ -144,7 +155,7 @@
         channel.abort()
         target.finished(True, now - started)
         if not channel.response.status:
-            target.missed(now)
+            forwarder.table.lost(target, now)
         return Outcome(None, False, reason)
     reply = dialect.decode_response(response)
     forwarder.pool.release(channel)
--- a/chiveswitch/forwarding/channel.py
+++ b/chiveswitch/forwarding/channel.py
@@ -152,7 +152,7 @@
         if response.complete or response.status < 200:
             return
         name, value = self._identity
-        found = response.value_by_header.get(name)
+        found = response.value_by_header.get(name) if name else None
         if found is not None and found != value and self._strays < MAX_STRAY_RESPONSES:
             self._strays += 1
             self._reusable = False
--- a/chiveswitch/forwarding/exchange.py
+++ b/chiveswitch/forwarding/exchange.py
@@ -47,9 +47,8 @@
         last_event_id: Event after which a stream continues, or None.
         copy_address: Engine that receives a copy of the run's memory as it grows, or an empty
             string.
-        memory_address: Engine that holds the memory from which the run continues, or an empty
-            string; always the addressed one here.
-        memory_run_id: Id under which that memory is kept.
+        memory_reference: How engines name the copy from which the run continues, or an empty
+            string.
     """
 
     __slots__ = (
@@ -58,8 +57,7 @@
         "account",
         "last_event_id",
         "copy_address",
-        "memory_address",
-        "memory_run_id",
+        "memory_reference",
     )
 
     def __init__(self, target_id: str, wait_s: float, account: str | None):
@@ -68,8 +66,7 @@
         self.account = account
         self.last_event_id = None
         self.copy_address = ""
-        self.memory_address = ""
-        self.memory_run_id = ""
+        self.memory_reference = ""
 
 
 class Reply:
@@ -102,6 +99,24 @@
         """Returns the whole request for a target."""
         raise NotImplementedError
 
+    def copy_reference(self, address: str, run_id: str) -> str:
+        """Returns how engines name the copy that an engine at an address gets of a run."""
+        raise NotImplementedError
+
+    def encode_copy_order(self, run_id: str, source: str, holder: str) -> bytes:
+        """Returns the request that has an engine copy a run's memory to another engine.
+
+        Args:
+            run_id: Id of the run at the source.
+            source: Address of the engine that runs it.
+            holder: Address of the engine that gets the copy.
+        """
+        raise NotImplementedError
+
+    def decode_copy_reply(self, response, source: str) -> str:
+        """Returns how engines name the copy that was made, or an empty string if none was."""
+        raise NotImplementedError
+
     def identity(self, caller: CallerRequest) -> tuple[str, str]:
         """Returns lower-case name and value of the header by which a response names the request."""
         raise NotImplementedError
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -237,8 +237,8 @@
             admitted.request, admitted.responder, admitted.caller, code, reason, retry_after_s
         )
 
-    def answered(self, admitted: Admitted, target, status: int, events: int = 0):
-        """Logs the end of a request that a target answered."""
+    def answered(self, admitted: Admitted, target, status: int, **details):
+        """Logs the end of a request that a target answered, with details of its kind."""
         self.metrics.count(f"answered_{status // 100}xx")
         self.log.line(
             "gateway",
@@ -249,6 +249,6 @@
             target=target.target_id,
             status=status,
             sends=admitted.sends,
-            events=events,
+            **details,
             took=clock.now() - admitted.request.received_at,
         )
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -23,6 +23,12 @@
 MOVE_SHARE = 0.75
 # The same for a stream without a copy, for which a move means to read the whole prompt again.
 MOVE_SHARE_WITHOUT_COPY = 3.0
+# Part of the time for which an ordered copy is kept, after which the order is repeated.
+COPY_REFRESH_SHARE = 0.7
+# Longest wait in seconds for a copy: 9,000 tokens take 10 to 100 ms, queued behind others.
+COPY_SECONDS = 1.0
+# Least seconds between two orders for one run.
+COPY_PAUSE_SECONDS = 0.3
 # Longest pause in seconds on routes that state none.
 DEFAULT_GAP_SECONDS = 1.0
 # Engines that may turn a stream away before it is refused; each costs a round trip.
@@ -46,6 +52,11 @@
         continues: Whether the next send continues from the copy's memory.
         first_target: The target whose response head the caller got, or None.
         gap_s: Longest pause in seconds that is on time.
+        first_event_s: Seconds from the arrival to the first event, or None.
+        longest_pause_s: Longest pause in seconds between two events so far.
+        delivered_at: Time of the last delivery.
+        copied_at: Time at which a copy was ordered, None if the engine sends it by itself.
+        next_copy_at: Time before which no further copy is ordered.
     """
 
     __slots__ = (
@@ -58,6 +69,11 @@
         "continues",
         "first_target",
         "gap_s",
+        "first_event_s",
+        "longest_pause_s",
+        "delivered_at",
+        "copied_at",
+        "next_copy_at",
     )
 
     def __init__(self, forwarder, admitted):
@@ -80,6 +96,11 @@
         self.continues = False
         self.first_target = None
         self.gap_s = admitted.route.gap_objective_s or DEFAULT_GAP_SECONDS
+        self.first_event_s = None
+        self.longest_pause_s = 0.0
+        self.delivered_at = now
+        self.copied_at = None
+        self.next_copy_at = now
 
     # Where the run is.
 
@@ -94,6 +115,7 @@
         known.ended = True
         self.run.run_id = known.run_id
         self.run.copy_target_id = known.copy_target_id
+        self.run.copy_reference = known.copy_reference
         self.run.sequence = known.sequence
         self.continues = True
 
@@ -132,12 +154,25 @@
     def choose_copy(self, target) -> str:
         """Chooses the engine that gets the copy; returns its address or an empty string."""
         self.run.copy_target_id = ""
+        self.run.copy_reference = ""
+        self.copied_at = None
+        holder = self.find_holder(target)
+        if holder is None:
+            return ""
+        self.run.copy_target_id = holder.target_id
+        self.run.copy_reference = self.forwarder.dialect.copy_reference(
+            holder.address, self.admitted.caller.request_id
+        )
+        return holder.address
+
+    def find_holder(self, target):
+        """Returns an engine in another zone with room for a copy of the run, or None."""
         engine = self.admitted.service.engine
         if engine is None or not engine.copies or not self.admitted.route.resumable:
-            return ""
+            return None
         forwarder = self.forwarder
         now = clock.now()
-        holder = placement.choose_copy(
+        return placement.choose_copy(
             forwarder.table.of_service(self.admitted.service.name),
             forwarder.runs.load_by_target(now),
             engine,
@@ -146,10 +181,70 @@
             now,
             forwarder.rng,
         )
+
+    def needs_copy(self, now) -> bool:
+        """Says whether the copy was lost, or was ordered and will soon be dropped."""
+        engine = self.admitted.service.engine
+        if engine is None or not engine.copies or not self.admitted.route.resumable:
+            return False
+        if now < self.next_copy_at:
+            return False
+        holder = self.forwarder.table.find(self.run.copy_target_id)
+        if holder is None or holder.avoided_until > now:
+            return True
+        kept = engine.copy_kept_s * COPY_REFRESH_SHARE
+        return self.copied_at is not None and now - self.copied_at > kept
+
+    async def copy_again(self, target):
+        """Has the engine copy the run's memory to another one while the run continues."""
+        forwarder = self.forwarder
+        run = self.run
+        started = clock.now()
+        self.next_copy_at = started + COPY_PAUSE_SECONDS
+        holder = None
+        if self.copied_at is not None:
+            # A repeated order copies only what is new.
+            holder = forwarder.table.find(run.copy_target_id)
+        if holder is None or holder.avoided_until > started:
+            holder = self.find_holder(target)
         if holder is None:
-            return ""
-        self.run.copy_target_id = holder.target_id
-        return holder.address
+            return
+        channel = await forwarder.pool.acquire(
+            target.target_id, target.address, False, COPY_SECONDS
+        )
+        if channel is None:
+            return
+        channel.send(
+            forwarder.dialect.encode_copy_order(run.run_id, target.address, holder.address),
+            ("", ""),
+        )
+        reference = ""
+        try:
+            response = await channel.whole_response(started + COPY_SECONDS)
+            if response is not None:
+                reference = forwarder.dialect.decode_copy_reply(response, target.address)
+        finally:
+            if channel.response.complete:
+                forwarder.pool.release(channel)
+            else:
+                channel.abort()
+        forwarder.metrics.count("copies_ordered")
+        forwarder.log.line(
+            "gateway",
+            "copy",
+            request=run.run_id,
+            target=target.target_id,
+            before=run.copy_target_id,
+            holder=holder.target_id,
+            outcome=reference or f"status {channel.response.status}",
+            took=clock.now() - started,
+        )
+        if not reference:
+            return
+        run.copy_target_id = holder.target_id
+        run.copy_reference = reference
+        self.copied_at = clock.now()
+        self.publish()
 
     # One send.
 
@@ -166,8 +261,7 @@
         options = forwarder.options(admitted, target)
         options.last_event_id = self.buffer.last_id
         if from_copy:
-            options.memory_address = target.address
-            options.memory_run_id = self.run.run_id
+            options.memory_reference = self.run.copy_reference
         options.copy_address = self.choose_copy(target)
         self.run.target_id = target.target_id
         self.run.run_id = admitted.caller.request_id
@@ -175,6 +269,21 @@
         self.publish()
         admitted.sends += 1
         self.buffer.restart()
+        forwarder.log.line(
+            "gateway",
+            "sent",
+            request=admitted.caller.request_id,
+            route=admitted.route.name,
+            bundle=admitted.bundle.version,
+            target=target.target_id,
+            zone=target.zone,
+            load_age=clock.now() - target.load_at if target.load_at else -1.0,
+            from_copy=int(from_copy),
+            copy=self.run.copy_target_id,
+            after_event=self.buffer.last_id if self.buffer.last_id is not None else -1,
+            tokens=self.run.tokens,
+            left=admitted.left(),
+        )
         channel.send(
             forwarder.dialect.encode_request(admitted.request, admitted.caller, options),
             forwarder.dialect.identity(admitted.caller),
@@ -194,6 +303,7 @@
         admitted.may_have_run = True
         heard_at = clock.now()
         check = None
+        copying = None
         confirmed = False
         got_events = False
         accepted = False
@@ -222,6 +332,8 @@
                         await responder.drained()
                     heard_at = now
                     confirmed = False
+                    if got_events and (copying is None or copying.done()) and self.needs_copy(now):
+                        copying = asyncio.get_running_loop().create_task(self.copy_again(target))
                 if self.buffer.fault:
                     return self.buffer.fault
                 if response.complete and accepted:
@@ -251,8 +363,9 @@
                         continue
                 await channel.changed(wait)
         finally:
-            if check is not None:
-                check.cancel()
+            for task in (check, copying):
+                if task is not None:
+                    task.cancel()
 
     def patience(self, intervals, got_events, confirmed) -> tuple[float, float]:
         """Returns the seconds of silence after which the run moves, and after which to check."""
@@ -283,8 +396,13 @@
             self.first_target = target
             headers = self.forwarder.dialect.response_headers(channel.response)
             responder.begin(channel.response.status, headers, channel.response.reason)
-            took = clock.now() - self.admitted.request.received_at
-            self.forwarder.metrics.observe("first_event", took)
+        now = clock.now()
+        if self.first_event_s is None:
+            self.first_event_s = now - self.admitted.request.received_at
+            self.forwarder.metrics.observe("first_event", self.first_event_s)
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.delivered_at)
+        self.delivered_at = now
         self.delivered += count
         responder.write(data)
 
@@ -298,7 +416,15 @@
             responder.begin(channel.response.status, headers, channel.response.reason)
         responder.finish()
         self.forwarder.pool.release(channel)
-        self.forwarder.answered(self.admitted, target, 200, self.delivered)
+        self.forwarder.metrics.observe("longest_pause", self.longest_pause_s)
+        self.forwarder.answered(
+            self.admitted,
+            target,
+            200,
+            events=self.delivered,
+            first=self.first_event_s or 0.0,
+            pause=self.longest_pause_s,
+        )
         return "ended"
 
     async def take_refusal(self, target, channel, was_uncertain) -> str:
@@ -368,7 +494,7 @@
             continue
         channel = await stream.open(target, from_copy)
         if channel is None:
-            target.missed(clock.now())
+            forwarder.table.lost(target, clock.now())
             stream.excluded.add(target.target_id)
             reason = f"{target.target_id} cannot be reached"
             forwarder.metrics.count("connects_failed")
@@ -391,9 +517,10 @@
                 break
         else:
             runs += 1
-            target.missed(now)
+            forwarder.table.lost(target, now)
             stream.excluded = {target.target_id}
-            stream.continues = bool(stream.run.copy_target_id)
+            # The copy begins with the first event.
+            stream.continues = bool(stream.run.copy_target_id) and stream.buffer.last_id is not None
             forwarder.metrics.count("streams_moved")
         forwarder.log.line(
             "gateway",
--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -28,6 +28,8 @@
 TARGET_KEPT_SECONDS = 60.0
 NODE_KEPT_SECONDS = 30.0
 RUN_KEPT_SECONDS = 30.0
+# Seconds for which a loss is published: those who learn of it later would avoid a healthy target.
+LOSS_KEPT_SECONDS = 0.6
 # Shortest time in seconds between two answers to one node, by number of nodes: reports of one
 # interval share an answer, so that a hub's work for each report falls with the number of nodes.
 BATCH_SECONDS_PER_NODE = 0.002
@@ -174,6 +176,13 @@
                 return
         self._put(key, "runs", report)
 
+    def take_loss(self, report):
+        """Takes that a gateway has lost a target; reports of one moment count once."""
+        key = ("losses", report.target_id)
+        known = self._entry_by_key.get(key)
+        if known is None or self._now() - known.heard_at > LOSS_KEPT_SECONDS / 2:
+            self._put(key, "losses", report)
+
     def _put(self, key, kind, report):
         self.position += 1
         # Entries stay in the order of their positions.
@@ -228,6 +237,10 @@
             self._put(key, "nodes", changed)
             self._entry_by_key[key].heard_at = heard_at
 
+    def _sweep_loss(self, key, _entry, silence):
+        if silence > LOSS_KEPT_SECONDS:
+            del self._entry_by_key[key]
+
     def _sweep_run(self, key, _entry, silence):
         if silence > RUN_KEPT_SECONDS:
             del self._entry_by_key[key]
@@ -248,6 +261,13 @@
 
     # Watches.
 
+    def take_reports(self, watch):
+        """Takes the runs and losses that a node reports."""
+        for report in watch.runs:
+            self.take_run(report)
+        for report in watch.losses:
+            self.take_loss(report)
+
     async def serve_watch(self, payload: bytes, _trace: str) -> expression.Result:
         """Answers a watch as soon as there is news for the node, or after `HOLD_SECONDS`."""
         decoded = strict.decode(hub_thrift.Watch, payload)
@@ -258,8 +278,7 @@
         if not self.is_member():
             return expression.Ok(strict.encode(self._answer(watch, members, False)))
         self.take_node(watch.node)
-        for report in watch.runs:
-            self.take_run(report)
+        self.take_reports(watch)
         if not self._has_news(watch):
             future = asyncio.get_running_loop().create_future()
             self._waiting.add(future)
@@ -292,6 +311,7 @@
             targets=[],
             nodes=[],
             runs=[],
+            losses=[],
         )
         if watch.wants_bundle and published.version > watch.known_version:
             answer.content = published.content
@@ -310,6 +330,7 @@
     "targets": Hub._sweep_target,
     "nodes": Hub._sweep_node,
     "runs": Hub._sweep_run,
+    "losses": Hub._sweep_loss,
 }
 
 
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -14,14 +14,19 @@
 // Where the memory of a run is: state 0 running, 1 ended.
 struct RunReport { 1: required string run_id, 2: required string session, 3: required string target_id,
   4: required string copy_target_id, 5: required i64 tokens, 6: required i32 state,
-  7: required string node, 8: required i64 sequence }
+  7: required string node, 8: required i64 sequence, 9: required string copy_reference }
+
+// A gateway could not reach a target, or its streams there broke off; at_ms orders the reports.
+struct LossReport { 1: required string target_id, 2: required string node, 3: required i64 at_ms }
 
 struct Watch { 1: required NodeReport node, 2: required i64 hub_incarnation, 3: required i64 position,
-  4: required i64 known_version, 5: required bool wants_bundle, 6: required list<RunReport> runs }
+  4: required i64 known_version, 5: required bool wants_bundle, 6: required list<RunReport> runs,
+  7: required list<LossReport> losses }
 struct WatchAnswer { 1: required bool is_hub, 2: required i64 hub_incarnation, 3: required i64 position,
   4: required i64 members_index, 5: required list<string> hubs, 6: required i64 version,
   7: required binary content, 8: required binary signature, 9: required list<TargetReport> targets,
-  10: required list<NodeReport> nodes, 11: required list<RunReport> runs }
+  10: required list<NodeReport> nodes, 11: required list<RunReport> runs,
+  12: required list<LossReport> losses }
 
 struct Report { 1: required TargetReport target }
 struct ReportAnswer { 1: required bool accepted, 2: required string hub_address }
--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -16,8 +16,8 @@
 REACHABLE_SECONDS = 2.0
 # Seconds after which another hub is asked for a newer bundle that the first one does not send.
 BUNDLE_PATIENCE_SECONDS = 0.3
-# Reports of runs leave together after this time in seconds.
-RUN_BATCH_SECONDS = 0.02
+# Reports of runs and losses leave together after this time in seconds.
+REPORT_BATCH_SECONDS = 0.02
 
 
 class HubState:
@@ -61,7 +61,8 @@
         "_own_address",
         "_task_by_address",
         "_runs",
-        "_run_timer",
+        "_losses",
+        "_report_timer",
         "_rng",
     )
 
@@ -70,8 +71,8 @@
 
         Args:
             view: The node's view: `describe()` returns the own NodeReport, `known_version()` the
-                version of the bundle, and `take_targets`, `take_nodes`, `take_runs`, `take_bundle`,
-                `hub_restarted` and `hub_state_changed` take what arrives.
+                version of the bundle, and `take_targets`, `take_nodes`, `take_runs`, `take_losses`,
+                `take_bundle`, `hub_restarted` and `hub_state_changed` take what arrives.
             seeds: Peer addresses from the settings.
             own_address: Own peer address, which is not watched.
             rng: Random source.
@@ -84,7 +85,8 @@
         self._own_address = own_address
         self._task_by_address = {}
         self._runs = []
-        self._run_timer = None
+        self._losses = []
+        self._report_timer = None
         self._rng = rng
 
     def start(self):
@@ -118,27 +120,34 @@
     def report_run(self, report):
         """Sends the report of a run to the first reachable hub, together with others."""
         self._runs.append(report)
-        if self._run_timer is None:
-            self._run_timer = asyncio.get_running_loop().call_later(
-                RUN_BATCH_SECONDS, self._send_runs
+        self._report_soon()
+
+    def report_loss(self, report):
+        """Sends the report of a lost target like that of a run."""
+        self._losses.append(report)
+        self._report_soon()
+
+    def _report_soon(self):
+        if self._report_timer is None:
+            self._report_timer = asyncio.get_running_loop().call_later(
+                REPORT_BATCH_SECONDS, self._send_reports
             )
 
-    def take_run_reports(self) -> list:
-        """Returns the reports of runs that were not sent yet, and removes them."""
-        reports, self._runs = self._runs, []
-        if self._run_timer is not None:
-            self._run_timer.cancel()
-            self._run_timer = None
-        return reports
-
-    def _send_runs(self):
-        self._run_timer = None
-        reports = self.take_run_reports()
-        found = [state for state in self.reachable() if state.link.connected]
-        if not found or not reports:
-            return
-        watch = self._request(found[0], reports, False)
-        found[0].link.post(kinds.Kind.HUB_REPORT_RUNS, strict.encode(watch))
+    def _send_reports(self):
+        self._report_timer = None
+        runs, self._runs = self._runs, []
+        losses, self._losses = self._losses, []
+        for state in self.reachable():
+            if state.link.connected:
+                watch = self._request(state, runs, losses, False)
+                state.link.post(kinds.Kind.HUB_REPORT_RUNS, strict.encode(watch))
+                return
+
+    def send_state(self):
+        """Tells all hubs the node's present state; the pending watches carry an older one."""
+        for state in self.reachable():
+            watch = self._request(state, [], [], False)
+            state.link.post(kinds.Kind.HUB_REPORT_RUNS, strict.encode(watch))
 
     def _watch_all(self):
         wanted = set(self.members.addresses or self._seeds) - {self._own_address}
@@ -154,7 +163,7 @@
             asyncio.get_running_loop().create_task(state.link.close())
             self._view.hub_restarted(address)
 
-    def _request(self, state, runs, wants_bundle):
+    def _request(self, state, runs, losses, wants_bundle):
         return hub_thrift.Watch(
             node=self._view.describe(),
             hub_incarnation=state.incarnation,
@@ -162,6 +171,7 @@
             known_version=self._view.known_version(),
             wants_bundle=wants_bundle,
             runs=runs,
+            losses=losses,
         )
 
     def _wants_bundle(self, state):
@@ -173,7 +183,7 @@
 
     async def _watch(self, state):
         while True:
-            request = self._request(state, [], self._wants_bundle(state))
+            request = self._request(state, [], [], self._wants_bundle(state))
             result = await state.link.call(
                 kinds.Kind.HUB_WATCH,
                 strict.encode(request),
@@ -228,4 +238,5 @@
         self._view.take_targets(state.address, reversed(answer.targets))
         self._view.take_nodes(state.address, reversed(answer.nodes))
         self._view.take_runs(reversed(answer.runs))
+        self._view.take_losses(reversed(answer.losses))
         self.learn_members(hub.Members(answer.members_index, answer.hubs))
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -1,5 +1,7 @@
 """Headers of the platform's callers and workers, decoded into the product's types and back."""
 
+import orjson
+
 from chiveswitch.forwarding import exchange
 
 REQUEST_ID = "X-Request-Id"
@@ -120,13 +122,36 @@
             lines.append(f"{LAST_EVENT_ID}: {options.last_event_id}\r\n")
         if options.copy_address:
             lines.append(f"{BACKUP}: {options.copy_address}\r\n")
-        if options.memory_address:
-            lines.append(f"{KV_FROM}: {options.memory_address}/{options.memory_run_id}\r\n")
+        if options.memory_reference:
+            lines.append(f"{KV_FROM}: {options.memory_reference}\r\n")
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"Content-Length: {len(request.body)}\r\n")
         lines.append("\r\n")
         return "".join(lines).encode("latin-1") + bytes(request.body)
 
+    def copy_reference(self, address: str, run_id: str) -> str:
+        """Returns the name of a backup: the holder's address and the request's id."""
+        return f"{address}/{run_id}"
+
+    def encode_copy_order(self, run_id: str, source: str, holder: str) -> bytes:
+        """Returns the call that copies a run's memory while the run continues."""
+        body = orjson.dumps({"id": run_id, "target": holder})
+        head = (
+            f"POST /kv-move HTTP/1.1\r\nHost: {source}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode("latin-1") + body
+
+    def decode_copy_reply(self, response, source: str) -> str:
+        """Returns the name of a moved copy: the source's address and the handle."""
+        if response.status != 200:
+            return ""
+        try:
+            handle = orjson.loads(bytes(response.body))["handle"]
+        except (orjson.JSONDecodeError, KeyError, TypeError):
+            return ""
+        return f"{source}/{handle}" if isinstance(handle, (str, int)) else ""
+
     def identity(self, caller) -> tuple[str, str]:
         """Returns the header by which workers echo the request's id."""
         return REQUEST_ID.lower(), caller.request_id
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -117,7 +117,7 @@
         self.settings = settings
         self.log = decision_log.DecisionLog()
         self.metrics = metrics.Metrics()
-        self.table = target_table.TargetTable(self._target_left)
+        self.table = target_table.TargetTable(self._target_left, self._report_loss)
         self.forwarder = forwarder.Forwarder(
             dialect, self.table, self.log, self.metrics, settings, self._report_run
         )
@@ -321,17 +321,7 @@
         report = self.view.describe()
         if self._is_member():
             self.hub.take_node(report)
-        for each in self.watcher.reachable():
-            # The pending watch still carries the old state.
-            watch = hub.hub_thrift.Watch(
-                node=report,
-                hub_incarnation=each.incarnation,
-                position=each.position,
-                known_version=self.view.known_version(),
-                wants_bundle=False,
-                runs=[],
-            )
-            each.link.post(kinds.Kind.HUB_REPORT_RUNS, strict.encode(watch))
+        self.watcher.send_state()
 
     @property
     def is_serving(self) -> bool:
@@ -369,7 +359,10 @@
         if kind == "nodes":
             self.view.take_nodes("", [entry.report])
             return
-        self.view.take_runs([entry.report])
+        if kind == "runs":
+            self.view.take_runs([entry.report])
+            return
+        self.view.take_losses([entry.report])
 
     def _target_left(self, target_id):
         self.forwarder.pool.forget(target_id)
@@ -385,12 +378,22 @@
             state=hub.RUN_ENDED if run.ended else hub.RUN_ACTIVE,
             node=run.node,
             sequence=run.sequence,
+            copy_reference=run.copy_reference,
         )
         if self._is_member():
             self.hub.take_run(report)
             return
         self.watcher.report_run(report)
 
+    def _report_loss(self, target_id):
+        report = hub.hub_thrift.LossReport(
+            target_id=target_id, node=self.settings.name, at_ms=int(clock.now() * 1000)
+        )
+        if self._is_member():
+            self.hub.take_loss(report)
+            return
+        self.watcher.report_loss(report)
+
     async def _keep_up(self):
         while True:
             await asyncio.sleep(UPKEEP_SECONDS)
@@ -471,8 +474,7 @@
             return decoded
         if self._is_member():
             self.hub.take_node(decoded.ok.node)
-            for report in decoded.ok.runs:
-                self.hub.take_run(report)
+            self.hub.take_reports(decoded.ok)
         return expression.Ok(b"")
 
     # Orders of operators.
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -158,10 +158,22 @@
             )
             run.target_id = report.target_id
             run.copy_target_id = report.copy_target_id
+            run.copy_reference = report.copy_reference
             run.sequence = report.sequence
             run.ended = report.state == hub.RUN_ENDED
             self._runs.put(run)
 
+    def take_losses(self, reports):
+        """Takes that other gateways have lost targets."""
+        now = clock.now()
+        for report in reports:
+            if report.node == self._settings.name:
+                continue
+            if self._table.lost_elsewhere(report.target_id, now):
+                self._log.line(
+                    "node", "target_avoided", target=report.target_id, reporter=report.node
+                )
+
     def hub_restarted(self, hub_address: str):
         """Forgets what a hub said before."""
         self._table.reset_hub(hub_address)
