--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -31,6 +31,9 @@
 COPY_PAUSE_SECONDS = 0.3
 # Longest pause in seconds on routes that state none.
 DEFAULT_GAP_SECONDS = 1.0
+# Part of the time that an idle engine needs to read the whole prompt below which a stream that has
+# no copy cannot be served any more.
+READ_SHARE = 0.7
 # Engines that may turn a stream away before it is refused; each costs a round trip.
 MAX_REJECTIONS = 4
 # Seconds after which a refused caller may return: about the time until a running stream ends.
@@ -102,6 +105,13 @@
         self.copied_at = None
         self.next_copy_at = now
 
+    def least_read_s(self) -> float:
+        """Returns the seconds below which no engine can read the prompt."""
+        if self.admitted.service.engine is None:
+            return 0.0
+        tokens = self.admitted.caller.prompt_tokens
+        return READ_SHARE * tokens / placement.READ_TOKENS_PER_SECOND
+
     # Where the run is.
 
     def adopt(self):
@@ -483,6 +493,9 @@
     runs = 0
     reason = "no target"
     while admitted.left() > 0:
+        if not stream.continues and admitted.left() < stream.least_read_s():
+            reason = f"the prompt cannot be read in {admitted.left():.3f} s"
+            break
         target, from_copy = stream.choose()
         if target is None:
             if not stream.excluded or rejections >= MAX_REJECTIONS:
