--- /dev/null
+++ b/chiveswitch/core/decision_log_test.py
@@ -0,0 +1,47 @@
+"""Tests of the decision log: bounded, and never blocking."""
+
+import asyncio
+import os
+
+from chiveswitch.core import decision_log
+
+
+def test_a_full_pipe_drops_whole_lines_and_counts_them():
+    # Guards against a gateway that stands still because nobody reads its log.
+    reader, writer = os.pipe()
+    time = [0.0]
+
+    async def fill():
+        log = decision_log.DecisionLog(writer, lambda: time[0])
+        for number in range(20_000):
+            time[0] += 0.01
+            log.line("gateway", "event", request=f"r{number}", reason="x" * 100)
+            if number % 100 == 0:
+                log.flush()
+        assert log.dropped > 0
+        return log
+
+    asyncio.run(fill())
+    os.close(writer)
+    with os.fdopen(reader, "rb") as stream:
+        lines = stream.read().split(b"\n")
+    for line in lines[:-1]:
+        assert line.startswith((b"gateway: event at=", b"log: lines_dropped"))
+
+
+def test_lines_per_second_are_bounded():
+    reader, writer = os.pipe()
+
+    async def fill():
+        log = decision_log.DecisionLog(writer, lambda: 1.0)
+        for _ in range(decision_log.BURST_LINES + 50):
+            log.line("gateway", "event", reason="two words")
+        assert log.dropped == 50
+        log.flush()
+
+    os.set_blocking(reader, False)
+    asyncio.run(fill())
+    text = os.read(reader, 1 << 20)
+    assert b'reason="two words"' in text
+    os.close(reader)
+    os.close(writer)
--- /dev/null
+++ b/chiveswitch/core/events_test.py
@@ -0,0 +1,53 @@
+"""Tests of the event buffer: each event whole, once and in order, however the bytes arrive."""
+
+import hypothesis
+from hypothesis import strategies
+
+from chiveswitch.core import events
+
+
+def stream(first, last):
+    return b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+@hypothesis.given(
+    strategies.lists(strategies.integers(1, 30), min_size=1), strategies.integers(1, 9)
+)
+def test_any_cut_of_the_bytes_gives_the_same_events(sizes, count):
+    buffer = events.EventBuffer(None)
+    data = stream(0, count)
+    found, position, step = b"", 0, 0
+    while position < len(data):
+        size = sizes[step % len(sizes)]
+        found += buffer.feed(data[position : position + size])[0]
+        position, step = position + size, step + 1
+    assert found == data
+    assert buffer.is_between_events and buffer.last_id == count
+
+
+@hypothesis.given(strategies.integers(0, 8), strategies.integers(0, 8), strategies.integers(0, 12))
+def test_a_move_in_the_middle_of_an_event_repeats_and_loses_nothing(cut, again, rest):
+    # Guards against a half event, a repeated one or a gap after an engine broke off.
+    buffer = events.EventBuffer(None)
+    found = buffer.feed(stream(0, cut) + stream(cut + 1, cut + 1)[:rest])[0]
+    buffer.restart()
+    start = max(0, cut - again)
+    found += buffer.feed(stream(start, 12))[0]
+    assert not buffer.fault
+    assert found == stream(0, 12)
+
+
+def test_a_gap_or_a_missing_id_ends_the_use_of_a_stream():
+    # Guards against joining pieces of two runs.
+    buffer = events.EventBuffer(3)
+    assert buffer.feed(stream(5, 6)) == (b"", 0)
+    assert buffer.fault
+    buffer = events.EventBuffer(None)
+    buffer.feed(b"data: no id\n\n")
+    assert buffer.fault
+
+
+def test_an_event_without_end_is_bounded():
+    buffer = events.EventBuffer(None, max_bytes=100)
+    buffer.feed(b"x" * 101)
+    assert buffer.fault
--- /dev/null
+++ b/chiveswitch/core/placement_test.py
@@ -0,0 +1,126 @@
+"""Tests of placement under the load patterns of the users' sheets, without a network."""
+
+import collections
+import random
+
+from chiveswitch.core import placement, routing, target_table, target_table_test
+
+ENGINE = routing.Engine(slots=16, memory_tokens=88_000, copies=True, copy_kept_s=4.0)
+TOKENS = 9_000
+NOW = 100.0
+
+
+def fleet(zones="abcd", per_zone=9):
+    table = target_table.TargetTable()
+    for name in zones:
+        target_table_test.zone(table, name, per_zone)
+    return table
+
+
+def choose_all(table, gateways, drawn, seed):
+    """Returns the runs per engine that gateways place at one moment on equal reports."""
+    rng = random.Random(seed)
+    before, placement.DRAWN_ENGINES = placement.DRAWN_ENGINES, drawn
+    try:
+        loads = {"a0": (0, 0, 0)}
+        for target_id in table.target_by_id:
+            loads.setdefault(target_id, (2, 2 * TOKENS, 4000))
+        placed = collections.Counter()
+        for _ in range(gateways):
+            targets = table.of_service("s")
+            chosen = placement.choose_engine(targets, loads, ENGINE, TOKENS, NOW, rng)
+            placed[chosen.target_id] += 1
+        return placed
+    finally:
+        placement.DRAWN_ENGINES = before
+
+
+def test_gateways_that_move_runs_at_the_same_moment_do_not_choose_the_same_engine():
+    # Pattern: a zone is lost and 24 runs move at once; choosing the best of all put every run on
+    # the one engine that looked empty, which delayed first events by seconds.
+    for seed in range(20):
+        drawn = choose_all(fleet(), 24, placement.DRAWN_ENGINES, seed)
+        best_of_all = choose_all(fleet(), 24, 10_000, seed)
+        assert max(best_of_all.values()) == 24
+        assert max(drawn.values()) <= 8
+
+
+def test_an_engine_with_a_long_prompt_queue_is_avoided():
+    # Pattern: hot engines while others are idle; prompts are read one after the other.
+    table = fleet("a", 3)
+    loads = {"a0": (1, TOKENS, 24_000), "a1": (1, TOKENS, 0), "a2": (1, TOKENS, 16_000)}
+    rng = random.Random(1)
+    for _ in range(50):
+        chosen = placement.choose_engine(table.of_service("s"), loads, ENGINE, TOKENS, NOW, rng)
+        assert chosen.target_id == "a1"
+
+
+def test_a_run_goes_where_its_memory_fits():
+    # Pattern: burst of long prompts; a run that does not fit waits or preempts another one.
+    table = fleet("a", 2)
+    loads = {"a0": (8, 84_000, 0), "a1": (9, 50_000, 0)}
+    rng = random.Random(2)
+    for _ in range(50):
+        chosen = placement.choose_engine(table.of_service("s"), loads, ENGINE, TOKENS, NOW, rng)
+        assert chosen.target_id == "a1"
+
+
+def test_copies_lie_outside_the_zone_and_never_at_avoided_engines():
+    # Pattern: a zone goes dark every few seconds; a copy in it would be lost with its run.
+    table = fleet()
+    table.lost(table.find("b0"), NOW)
+    table.lost(table.find("b1"), NOW)
+    rng = random.Random(3)
+    zones = collections.Counter()
+    for _ in range(200):
+        targets = table.of_service("s")
+        holder = placement.choose_copy(targets, {}, ENGINE, TOKENS, {"a"}, NOW + 0.1, rng)
+        zones[holder.zone] += 1
+    assert set(zones) == {"c", "d"}
+    assert min(zones.values()) > 60
+
+
+def test_no_copy_is_ordered_where_no_engine_has_room():
+    table = fleet("ab", 1)
+    loads = {"b0": (1, 85_000, 0)}
+    rng = random.Random(4)
+    targets = table.of_service("s")
+    assert placement.choose_copy(targets, loads, ENGINE, TOKENS, {"a"}, NOW, rng) is None
+
+
+def test_a_failing_target_gets_fewer_calls():
+    # Pattern: a worker fails part of its requests while its health is good.
+    table = fleet("a", 4)
+    for _ in range(20):
+        table.find("a0").finished(True, 0.01)
+    rng = random.Random(5)
+    placed = collections.Counter()
+    for _ in range(400):
+        placed[placement.choose_target(table.of_service("s"), "a", NOW, rng).target_id] += 1
+    # Two targets are drawn, so that it is chosen only when it is drawn alone: never.
+    assert placed["a0"] == 0
+
+
+def test_calls_spread_over_equal_targets():
+    table = fleet("ab", 2)
+    rng = random.Random(6)
+    placed = collections.Counter()
+    for _ in range(400):
+        placed[placement.choose_target(table.of_service("s"), "a", NOW, rng).target_id] += 1
+    assert min(placed.values()) > 40
+
+
+def test_runs_that_other_gateways_report_count_as_load():
+    # Pattern: reports of workers lag; the runs placed a moment ago by others are known anyway.
+    runs = placement.RunTable()
+    run = placement.Run("r", "session", TOKENS, 8_000, "other", NOW)
+    run.target_id, run.copy_target_id = "a0", "b0"
+    runs.put(run)
+    loads = runs.load_by_target(NOW)
+    assert loads["a0"] == (1, TOKENS, 8_000)
+    assert loads["b0"] == (0, TOKENS, 0)
+    assert runs.of_session("session") is run
+    run.ended = True
+    assert runs.load_by_target(NOW) == {}
+    runs.sweep(NOW + placement.RUN_MAX_SECONDS + 1)
+    assert runs.of_session("session") is None
--- /dev/null
+++ b/chiveswitch/core/routing_test.py
@@ -0,0 +1,96 @@
+"""Tests of route bundles: which are refused, which route matches, and that encodings agree."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from chiveswitch.core import routing
+
+
+def route(name="r", **changes):
+    fields = {
+        "name": name,
+        "host": "h",
+        "path_prefix": "/a/",
+        "kind": "idempotent",
+        "timeout_s": 1.0,
+        "objective_s": 0.5,
+        "gap_objective_s": 0.0,
+        "max_runs": 2,
+        "priority": 1,
+        "anonymous": False,
+        "resumable": False,
+        "weight_by_service": {"s": 1},
+    }
+    fields.update(changes)
+    return routing.Route(**fields)
+
+
+def bundle(routes, version=1, accounts=()):
+    services = [routing.Service(name="s", max_connections=1, engine=None)]
+    return routing.RouteBundle(
+        version, routes, services, routing.DEFAULT_LIMITS, list(accounts), "{}"
+    )
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        bundle([route(), route("other")]),
+        bundle([route(weight_by_service={"unknown": 1})]),
+        bundle([route(weight_by_service={"s": 0})]),
+        bundle([route(weight_by_service={})]),
+        bundle([route(timeout_s=0)]),
+        bundle([route(path_prefix="/a")]),
+        bundle([], version=0),
+        bundle([], version=2**63),
+        bundle(
+            [],
+            accounts=[
+                routing.Account(name="a", keys=["k"], priority=None),
+                routing.Account(name="b", keys=["k"], priority=None),
+            ],
+        ),
+    ],
+)
+def test_a_faulty_bundle_is_refused(broken):
+    # Guards against putting routes in force that lead nowhere or to two places.
+    assert routing.check(broken)
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    # Guards against a general route that takes the requests of a special one.
+    found = bundle([route("a"), route("ab", path_prefix="/a/b/"), route("other", host="x")])
+    assert routing.check(found) == []
+    assert found.match("h", "/a/b/c").name == "ab"
+    assert found.match("h", "/a/bc").name == "a"
+    assert found.match("h", "/a/b").name == "a"
+    assert found.match("h", "/b/") is None
+    assert found.match("y", "/a/") is None
+
+
+def test_the_encoding_keeps_every_field():
+    # Guards against gateways that act on less than the operator wrote.
+    account = routing.Account(name="a", keys=["k"], priority=2)
+    first = bundle([route()], accounts=[account])
+    second = routing.decode(first.encode()).ok
+    assert second.encode() == first.encode()
+    assert second.account_by_key["k"].name == "a"
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_other_bytes_are_refused_without_an_exception(data):
+    assert routing.decode(data).is_error()
+
+
+@hypothesis.given(strategies.integers(0, 400), strategies.integers(0, 255))
+def test_a_changed_bundle_does_not_keep_its_signature(at, value):
+    # Guards against a bundle that was changed between its acceptance and a gateway.
+    signer = routing.Signer("secret")
+    content = bundle([route()]).encode()
+    signature = signer.sign(content)
+    changed = bytearray(content)
+    changed[at % len(changed)] = value
+    same = bytes(changed) == content
+    assert signer.verify(bytes(changed), signature) == same
+    assert not routing.Signer("other").verify(content, signature)
--- /dev/null
+++ b/features/platform_standins.py
@@ -0,0 +1,322 @@
+"""Stand-ins of the users' workers, callers and operators, for tests without their bench."""
+
+import asyncio
+
+import httptools
+import orjson
+
+from chiveswitch.core import clock
+from chiveswitch.forwarding import http_server
+
+MODEL = "m"
+
+
+class Worker:
+    """A worker that runs calls and streams, keeps copies of runs, and fails on demand.
+
+    Attributes:
+        worker_id: Its id.
+        address: Its `ip:port`.
+        runs: (request id, headers by lower-case name) of each request that it ran.
+        turned_away: Ids of requests that it did not run.
+        copies: Events made by run id, for the runs whose copy it holds.
+        left_by_caller: Ids of requests whose connection closed before their end.
+        behaviour: Name of what happens to the next requests: see `BEHAVIOUR_BY_NAME`.
+        events: Events of a stream.
+        event_seconds: Pause before each event.
+        cut_after: Events after which the stream breaks off in the middle of the next one, or None.
+    """
+
+    def __init__(self, worker_id: str, address: str, worker_by_address: dict):
+        self.worker_id = worker_id
+        self.address = address
+        self.runs = []
+        self.turned_away = []
+        self.copies = {}
+        self.left_by_caller = []
+        self.behaviour = "answer"
+        self.events = 12
+        self.event_seconds = 0.01
+        self.cut_after = None
+        self.silent_after = None
+        self._worker_by_address = worker_by_address
+        worker_by_address[address] = self
+        self._server = http_server.Server(self._handle)
+
+    async def start(self):
+        """Starts to listen."""
+        await self._server.start(self.address)
+
+    async def stop(self):
+        """Resets all connections and stops listening, as a crash does."""
+        for connection in list(self._server.connections):
+            connection.abort()
+        await self._server.close()
+
+    def heartbeat(self, service: str, zone: str, sequence: int, state: str = "ready") -> bytes:
+        """Returns the body of a heartbeat."""
+        return orjson.dumps(
+            {
+                "service": service,
+                "address": self.address,
+                "zone": zone,
+                "version": "v1",
+                "slots": 8,
+                "state": state,
+                "cold-remaining-ms": 0,
+                "sequence": sequence,
+                "born": 1000,
+            }
+        )
+
+    async def _handle(self, request, responder):
+        headers = request.value_by_header
+        request_id = headers.get("x-request-id", "")
+        expected = headers.get("x-expect-instance")
+        if expected not in (None, self.worker_id):
+            responder.send(421, [("X-Instance-Id", self.worker_id)])
+            return
+        if request.path == "/kv-move":
+            self._copy_order(request, responder)
+            return
+        try:
+            await BEHAVIOUR_BY_NAME[self.behaviour](self, request, responder, request_id)
+        except asyncio.CancelledError:
+            self.left_by_caller.append(request_id)
+            raise
+
+    def _copy_order(self, request, responder):
+        order = orjson.loads(bytes(request.body))
+        holder = self._worker_by_address[order["target"]]
+        handle = f"h{order['id']}"
+        holder.copies[handle] = 0
+        responder.send(200, [], orjson.dumps({"handle": handle, "made": 0}))
+
+    def _sealed(self, request_id):
+        return [
+            ("X-Request-Id", request_id),
+            ("X-Response-Seal", f"seal-{self.worker_id}"),
+            ("X-Instance-Load", "1,0,8"),
+        ]
+
+    async def _stream(self, request, responder, request_id):
+        headers = request.value_by_header
+        source = headers.get("kv-from", "").rpartition("/")[2]
+        if source and source not in self.copies:
+            self.turned_away.append(request_id)
+            responder.send(503, [("X-Not-Executed", "1"), ("X-Request-Id", request_id)])
+            return
+        self.runs.append((request_id, dict(headers)))
+        first = int(headers.get("last-event-id", "-1")) + 1
+        holder = self._worker_by_address.get(headers.get("x-kv-backup", ""))
+        responder.begin(200, self._sealed(request_id))
+        for number in range(first, self.events):
+            await asyncio.sleep(self.event_seconds)
+            event = b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
+            if self.cut_after is not None and number >= self.cut_after:
+                responder.write(event[:7])
+                await asyncio.sleep(0.01)
+                responder.abort()
+                return
+            if self.silent_after is not None and number >= self.silent_after:
+                await asyncio.sleep(60)
+            responder.write(event)
+            if holder is not None:
+                holder.copies[request_id] = number
+        responder.finish()
+
+
+BEHAVIOUR_BY_NAME = {}
+
+
+def behaviour(name: str):
+    """Registers what a worker does with a request."""
+
+    def register(function):
+        BEHAVIOUR_BY_NAME[name] = function
+        return function
+
+    return register
+
+
+@behaviour("answer")
+async def answer(worker, request, responder, request_id):
+    """Runs the request."""
+    if "x-token-usage" in request.value_by_header:
+        await worker._stream(request, responder, request_id)
+        return
+    worker.runs.append((request_id, dict(request.value_by_header)))
+    body = b"%s %s %s" % (request.method.encode(), request.target.encode(), bytes(request.body))
+    responder.send(200, worker._sealed(request_id), body)
+
+
+@behaviour("shed")
+async def shed(worker, _request, responder, request_id):
+    """Turns the request away."""
+    worker.turned_away.append(request_id)
+    responder.send(503, [("X-Not-Executed", "1"), ("X-Request-Id", request_id)])
+
+
+@behaviour("unsure")
+async def unsure(worker, request, responder, request_id):
+    """Runs the request and answers with a status that looks like a refusal."""
+    worker.runs.append((request_id, dict(request.value_by_header)))
+    responder.send(503, [("X-Request-Id", request_id)])
+
+
+@behaviour("lose_answer")
+async def lose_answer(worker, request, responder, request_id):
+    """Runs the request and resets the connection."""
+    worker.runs.append((request_id, dict(request.value_by_header)))
+    responder.abort()
+
+
+@behaviour("fail")
+async def fail(worker, request, responder, request_id):
+    """Runs the request and fails."""
+    worker.runs.append((request_id, dict(request.value_by_header)))
+    responder.send(500, worker._sealed(request_id), b"failed")
+
+
+@behaviour("hang")
+async def hang(worker, request, _responder, request_id):
+    """Runs the request and never answers."""
+    worker.runs.append((request_id, dict(request.value_by_header)))
+    await asyncio.sleep(60)
+
+
+class Answer:
+    """What a caller got.
+
+    Attributes:
+        status: Status, 0 if no head arrived.
+        value_by_header: Headers by lower-case name.
+        body: The body as far as it arrived.
+        complete: Whether the response ended as its framing says.
+    """
+
+    def __init__(self):
+        self.status = 0
+        self.value_by_header = {}
+        self.body = b""
+        self.complete = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    def on_header(self, name, value):
+        self.value_by_header[name.decode().lower()] = value.decode()
+
+    def on_headers_complete(self):
+        self.status = self._parser.get_status_code()
+
+    def on_body(self, body):
+        self.body += body
+
+    def on_message_complete(self):
+        self.complete = True
+
+    def feed(self, data):
+        self._parser.feed_data(data)
+
+    def event_ids(self) -> list[int]:
+        """Returns the ids of the events in the body."""
+        lines = self.body.split(b"\n")
+        return [int(line[4:]) for line in lines if line.startswith(b"id: ")]
+
+
+def encode(method: str, path: str, headers: dict, body: bytes = b"") -> bytes:
+    """Returns a request."""
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+async def send(address: str, data: bytes, seconds: float = 10.0) -> Answer:
+    """Sends bytes on a new connection and reads one response to its end."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    found = Answer()
+    try:
+        writer.write(data)
+        async with asyncio.timeout(seconds):
+            while not found.complete:
+                chunk = await reader.read(65536)
+                if not chunk:
+                    break
+                found.feed(chunk)
+    except ConnectionError:
+        pass
+    finally:
+        writer.transport.abort()
+    return found
+
+
+async def call(address: str, method: str, path: str, headers=None, body: bytes = b"") -> Answer:
+    """Sends one request and returns its answer."""
+    fields = {"Host": "svc.example", **(headers or {})}
+    return await send(address, encode(method, path, fields, body))
+
+
+def stream_headers(request_id: str, **more) -> dict:
+    """Returns the headers of a caller's stream."""
+    return {
+        "X-Request-Id": request_id,
+        "X-Model": MODEL,
+        "X-Token-Usage": "800,100",
+        "X-Prompt-Prefix": "aa:200,bb:600",
+        "X-Deadline-Ms": "10000",
+        "Authorization": "Bearer key-1",
+        **more,
+    }
+
+
+def config(version: int, **changes) -> dict:
+    """Returns a config with a streaming, a safe and an unsafe route."""
+
+    def route(name, prefix, kind, service, **more):
+        return {
+            "name": name,
+            "host": "svc.example",
+            "path-prefix": prefix,
+            "kind": kind,
+            "timeout-ms": 5000,
+            "target-latency-ms": 500,
+            "priority": 1,
+            "service": service,
+            "max-attempts": 3,
+            "allow-anonymous": False,
+            **more,
+        }
+
+    engine = {"slots": 8, "kv-capacity-tokens": 50000, "backups": True, "handle-s": 4.0}
+    document = {
+        "version": version,
+        "routes": [
+            route(
+                "stream", "/s/", "streaming", "engines", resumable=True, **{"target-gap-ms": 700}
+            ),
+            route("safe", "/r/", "safe", "plain"),
+            route("unsafe", "/w/", "unsafe", "plain", **{"max-attempts": 1}),
+        ],
+        "services": [
+            {"name": "engines", "max-connections": 50, "engine": engine},
+            {"name": "plain", "max-connections": 50},
+        ],
+        "limits": {
+            "max-header-bytes": 4096,
+            "max-body-bytes": 65536,
+            "header-timeout-ms": 1000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [{"name": "account-1", "api-keys": ["key-1", "key-2"], "priority": 1}],
+    }
+    document.update(changes)
+    return document
+
+
+async def until(condition, seconds: float = 10.0):
+    """Waits until a condition holds; fails the test if it does not in time."""
+    end = clock.now() + seconds
+    while not condition():
+        assert clock.now() < end, "the condition did not come true"
+        await asyncio.sleep(0.02)
