--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -1,7 +1,10 @@
 """Where a request goes: targets by load, engines by queued prompts and memory, copies by zone."""
 
+import heapq
 import random
 
+import xxhash
+
 from chiveswitch.core import target_table
 
 # Tokens that an engine reads in a second, for comparing queued prompts with running requests.
@@ -14,9 +17,12 @@
 FAILURE_WEIGHT = 2.0
 # Gateways that know the same reports choose differently by up to this part of the score.
 SPREAD = 0.1
-# Engines that are drawn at random before the best of them is chosen. Gateways decide at the same
-# moment on the same reports, above all after the loss of a zone; one engine would get all runs.
+# Engines that are drawn for a session before the best of them is chosen. Gateways decide at the
+# same moment on the same reports, above all after the loss of a zone: one would get all runs.
 DRAWN_ENGINES = 3
+# What each place in the session's order weighs, in seconds: a caller that returns after the loss of
+# its gateway finds its prompt at the first engine of the order, unless that one was busy.
+ORDER_WEIGHT = 0.1
 # Seconds after which the record of a run whose end was never reported is dropped.
 RUN_MAX_SECONDS = 30.0
 
@@ -148,13 +154,23 @@
     return best
 
 
+def draw(targets, session: str, count: int) -> list[target_table.Target]:
+    """Returns the first targets in the order of a session, which is the same at all gateways."""
+    prefix = session.encode() + b"\0"
+    return heapq.nlargest(
+        count,
+        targets,
+        key=lambda target: xxhash.xxh3_64_intdigest(prefix + target.target_id.encode()),
+    )
+
+
 def choose_engine(
     targets: list[target_table.Target],
     load_by_id: dict,
     engine,
     tokens: int,
+    session: str,
     now: float,
-    rng: random.Random,
 ) -> target_table.Target | None:
     """Returns the engine at which a prompt is read and generated soonest, or None.
 
@@ -163,12 +179,12 @@
         load_by_id: Load from `RunTable.load_by_target`.
         engine: `routing.Engine` of the service.
         tokens: Tokens of the prompt and the longest response.
+        session: Last part of the prompt, or the request's id.
         now: Current time in seconds.
-        rng: Random source.
     """
     best, best_score = None, 0.0
-    group = _preferred(targets, now)
-    for target in rng.sample(group, min(DRAWN_ENGINES, len(group))):
+    drawn = draw(_preferred(targets, now), session, DRAWN_ENGINES)
+    for place, target in enumerate(drawn):
         running, held, reading = load_by_id.get(target.target_id, (0, 0, 0))
         if now - target.load_at < target_table.LOAD_MAX_AGE_SECONDS:
             running = max(running, sum(target.load))
@@ -176,7 +192,7 @@
         # A run that does not fit waits, or preempts another one, until memory is free.
         score += max(0, held + tokens - engine.memory_tokens) / READ_TOKENS_PER_SECOND
         score += max(0, running + 1 - engine.slots)
-        score += FAILURE_WEIGHT * target.failures + SPREAD * rng.random()
+        score += FAILURE_WEIGHT * target.failures + ORDER_WEIGHT * place
         if best is None or score < best_score:
             best, best_score = target, score
     return best
--- a/chiveswitch/core/placement_test.py
+++ b/chiveswitch/core/placement_test.py
@@ -5,7 +5,9 @@
 
 from chiveswitch.core import placement, routing, target_table, target_table_test
 
-ENGINE = routing.Engine(slots=16, memory_tokens=88_000, copies=True, copy_kept_s=4.0)
+ENGINE = routing.Engine(
+    slots=16, memory_tokens=88_000, copies=True, copy_kept_s=4.0, event_tokens=8
+)
 TOKENS = 9_000
 NOW = 100.0
 
@@ -17,31 +19,21 @@
     return table
 
 
-def choose_all(table, gateways, drawn, seed):
-    """Returns the runs per engine that gateways place at one moment on equal reports."""
-    rng = random.Random(seed)
-    before, placement.DRAWN_ENGINES = placement.DRAWN_ENGINES, drawn
-    try:
-        loads = {"a0": (0, 0, 0)}
-        for target_id in table.target_by_id:
-            loads.setdefault(target_id, (2, 2 * TOKENS, 4000))
-        placed = collections.Counter()
-        for _ in range(gateways):
-            targets = table.of_service("s")
-            chosen = placement.choose_engine(targets, loads, ENGINE, TOKENS, NOW, rng)
-            placed[chosen.target_id] += 1
-        return placed
-    finally:
-        placement.DRAWN_ENGINES = before
-
-
 def test_gateways_that_move_runs_at_the_same_moment_do_not_choose_the_same_engine():
-    # Pattern: a zone is lost and 24 runs move at once; choosing the best of all put every run on
-    # the one engine that looked empty, which delayed first events by seconds.
+    # Pattern: a zone is lost and 24 runs move at once. Choosing the engine with the least load, the
+    # policy compared here, puts every run on the one that looks empty and delays first events.
+    table = fleet()
+    loads = {target_id: (2, 2 * TOKENS, 4000) for target_id in table.target_by_id}
+    loads["a0"] = (0, 0, 0)
     for seed in range(20):
-        drawn = choose_all(fleet(), 24, placement.DRAWN_ENGINES, seed)
-        best_of_all = choose_all(fleet(), 24, 10_000, seed)
-        assert max(best_of_all.values()) == 24
+        drawn, least = collections.Counter(), collections.Counter()
+        for number in range(24):
+            targets = table.of_service("s")
+            session = f"session-{seed}-{number}"
+            chosen = placement.choose_engine(targets, loads, ENGINE, TOKENS, session, NOW)
+            drawn[chosen.target_id] += 1
+            least[min(targets, key=lambda each: loads[each.target_id]).target_id] += 1
+        assert max(least.values()) == 24
         assert max(drawn.values()) <= 8
 
 
@@ -49,9 +41,9 @@
     # Pattern: hot engines while others are idle; prompts are read one after the other.
     table = fleet("a", 3)
     loads = {"a0": (1, TOKENS, 24_000), "a1": (1, TOKENS, 0), "a2": (1, TOKENS, 16_000)}
-    rng = random.Random(1)
-    for _ in range(50):
-        chosen = placement.choose_engine(table.of_service("s"), loads, ENGINE, TOKENS, NOW, rng)
+    for number in range(50):
+        targets = table.of_service("s")
+        chosen = placement.choose_engine(targets, loads, ENGINE, TOKENS, f"s{number}", NOW)
         assert chosen.target_id == "a1"
 
 
@@ -59,12 +51,39 @@
     # Pattern: burst of long prompts; a run that does not fit waits or preempts another one.
     table = fleet("a", 2)
     loads = {"a0": (8, 84_000, 0), "a1": (9, 50_000, 0)}
-    rng = random.Random(2)
-    for _ in range(50):
-        chosen = placement.choose_engine(table.of_service("s"), loads, ENGINE, TOKENS, NOW, rng)
+    for number in range(50):
+        targets = table.of_service("s")
+        chosen = placement.choose_engine(targets, loads, ENGINE, TOKENS, f"s{number}", NOW)
         assert chosen.target_id == "a1"
 
 
+def test_a_returning_session_finds_the_engine_that_has_read_its_prompt():
+    # Pattern: many gateways are killed at once and their callers return to others, which know
+    # nothing of the runs; the prompt is still in the memory of the engine that read it.
+    table = fleet()
+    same = 0
+    for number in range(200):
+        session = f"session-{number}"
+        targets = table.of_service("s")
+        first = placement.choose_engine(targets, {}, ENGINE, TOKENS, session, NOW)
+        # Others were placed in between.
+        loads = {each.target_id: (number % 2, TOKENS, 0) for each in targets}
+        random.Random(number).shuffle(targets)
+        again = placement.choose_engine(targets, loads, ENGINE, TOKENS, session, NOW + 2)
+        same += first is again
+    assert same == 200
+
+
+def test_sessions_spread_evenly_over_engines():
+    table = fleet()
+    placed = collections.Counter()
+    for number in range(3600):
+        targets = table.of_service("s")
+        chosen = placement.choose_engine(targets, {}, ENGINE, TOKENS, f"s{number}", NOW)
+        placed[chosen.target_id] += 1
+    assert max(placed.values()) < 150 and min(placed.values()) > 60
+
+
 def test_copies_lie_outside_the_zone_and_never_at_avoided_engines():
     # Pattern: a zone goes dark every few seconds; a copy in it would be lost with its run.
     table = fleet()
--- a/chiveswitch/core/routing.py
+++ b/chiveswitch/core/routing.py
@@ -85,9 +85,10 @@
         memory_tokens: Tokens that running requests, copies and cached prompts share.
         copies: Whether an engine sends a copy of a run's memory to another one as it grows.
         copy_kept_s: Seconds that a copy is kept after its last part arrived.
+        event_tokens: Tokens of one event of a stream; 0 if unknown.
     """
 
-    __slots__ = ("slots", "memory_tokens", "copies", "copy_kept_s")
+    __slots__ = ("slots", "memory_tokens", "copies", "copy_kept_s", "event_tokens")
 
 
 class Service(Record):
--- a/chiveswitch/forwarding/exchange.py
+++ b/chiveswitch/forwarding/exchange.py
@@ -113,6 +113,10 @@
         """
         raise NotImplementedError
 
+    def encode_copy_release(self, reference: str) -> bytes:
+        """Returns the request that has the source of an ordered copy free it."""
+        raise NotImplementedError
+
     def decode_copy_reply(self, response, source: str) -> str:
         """Returns how engines name the copy that was made, or an empty string if none was."""
         raise NotImplementedError
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -1,5 +1,6 @@
 """Admission of forwarded requests: route, account, deadline, and the handler of the kind."""
 
+import asyncio
 import random
 
 from chiveswitch.core import clock, codes, detector, placement, retry, routing
@@ -109,6 +110,7 @@
         "draining_since",
         "last_stream_arrival_s",
         "rng",
+        "_tasks",
     )
 
     def __init__(self, dialect, table, log, metrics, settings, report_run):
@@ -137,6 +139,13 @@
         self.draining_since = None
         self.last_stream_arrival_s = settings.stop_grace_s * STREAM_SHARE_OF_GRACE
         self.rng = random.Random()
+        self._tasks = set()
+
+    def spawn(self, coroutine):
+        """Runs work that outlives its request."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def limits(self) -> routing.Limits:
         """Returns the limits in force."""
--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -387,6 +387,29 @@
     assert "gateway: copy " in text
 
 
+def test_a_copy_is_ordered_again_when_its_holder_leaves_and_freed_at_the_end(tmp_path):
+    # Pattern: workers are replaced one after the other while zones fail; a run whose copy lay at a
+    # leaving worker had to be read again.
+    async def scenario(path):
+        found = await engines(path, 4)
+        for worker in found:
+            worker.event_seconds = 0.1
+        task = asyncio.ensure_future(stream(path, "r1"))
+        await platform_standins.until(path.ran)
+        run = path.gateway.runs.run_by_id["r1"]
+        await platform_standins.until(lambda: run.copy_target_id)
+        holder = path.workers[run.copy_target_id]
+        zone = path.table.find(holder.worker_id).zone
+        path.announce(holder, "engines", zone, 2, "draining")
+        await platform_standins.until(lambda: run.copy_target_id != holder.worker_id)
+        answer = await task
+        assert answer.complete
+        source = path.workers[run.target_id]
+        await platform_standins.until(lambda: source.freed == ["hr1"])
+
+    run(scenario, tmp_path)
+
+
 def test_a_stream_that_cannot_be_read_in_time_is_refused_at_once(tmp_path):
     async def scenario(path):
         await engines(path)
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -27,6 +27,8 @@
 COPY_REFRESH_SHARE = 0.7
 # Longest wait in seconds for a copy: 9,000 tokens take 10 to 100 ms, queued behind others.
 COPY_SECONDS = 1.0
+# Seconds that a stream must still take for a further copy to be worth its memory.
+COPY_LEFT_SECONDS = 0.8
 # Least seconds between two orders for one run.
 COPY_PAUSE_SECONDS = 0.3
 # Longest pause in seconds on routes that state none.
@@ -156,9 +158,8 @@
         if engine is None:
             return placement.choose_target(targets, forwarder.zone, now, forwarder.rng), False
         loads = forwarder.runs.load_by_target(now)
-        chosen = placement.choose_engine(
-            targets, loads, engine, self.run.tokens, now, forwarder.rng
-        )
+        session = self.run.session or self.admitted.caller.request_id
+        chosen = placement.choose_engine(targets, loads, engine, self.run.tokens, session, now)
         return chosen, False
 
     def choose_copy(self, target) -> str:
@@ -197,14 +198,40 @@
         engine = self.admitted.service.engine
         if engine is None or not engine.copies or not self.admitted.route.resumable:
             return False
-        if now < self.next_copy_at:
+        if now < self.next_copy_at or self.left_s(engine) < COPY_LEFT_SECONDS:
             return False
         holder = self.forwarder.table.find(self.run.copy_target_id)
         if holder is None or holder.avoided_until > now:
             return True
+        # A holder that leaves gets no new work, and so cannot continue the run.
+        if self.forwarder.table.is_draining(holder.target_id):
+            return True
         kept = engine.copy_kept_s * COPY_REFRESH_SHARE
         return self.copied_at is not None and now - self.copied_at > kept
 
+    def left_s(self, engine) -> float:
+        """Returns the seconds that the stream may still take, at its pace so far."""
+        if not engine.event_tokens or self.delivered < 2 or self.first_event_s is None:
+            return self.admitted.left()
+        events_left = self.admitted.caller.response_tokens / engine.event_tokens - self.delivered
+        since_first = self.delivered_at - self.admitted.request.received_at - self.first_event_s
+        return max(0.0, events_left) * since_first / (self.delivered - 1)
+
+    async def release_copy(self, source):
+        """Frees an ordered copy that is not needed any more, at both of its ends."""
+        forwarder = self.forwarder
+        channel = await forwarder.pool.acquire(
+            source.target_id, source.address, False, CHECK_SECONDS
+        )
+        if channel is None:
+            # The engines drop the copy by themselves after a while.
+            return
+        channel.send(forwarder.dialect.encode_copy_release(self.run.copy_reference), ("", ""))
+        if await channel.whole_response(clock.now() + CHECK_SECONDS) is None:
+            channel.abort()
+            return
+        forwarder.pool.release(channel)
+
     async def copy_again(self, target):
         """Has the engine copy the run's memory to another one while the run continues."""
         forwarder = self.forwarder
@@ -215,7 +242,8 @@
         if self.copied_at is not None:
             # A repeated order copies only what is new.
             holder = forwarder.table.find(run.copy_target_id)
-        if holder is None or holder.avoided_until > started:
+        leaves = forwarder.table.is_draining(run.copy_target_id)
+        if holder is None or leaves or holder.avoided_until > started:
             holder = self.find_holder(target)
         if holder is None:
             return
@@ -426,6 +454,8 @@
             responder.begin(channel.response.status, headers, channel.response.reason)
         responder.finish()
         self.forwarder.pool.release(channel)
+        if self.copied_at is not None:
+            self.forwarder.spawn(self.release_copy(target))
         self.forwarder.metrics.observe("longest_pause", self.longest_pause_s)
         self.forwarder.answered(
             self.admitted,
--- a/chiveswitch/platform/documents.py
+++ b/chiveswitch/platform/documents.py
@@ -83,6 +83,7 @@
         memory_tokens=_field(document, "kv-capacity-tokens", int),
         copies=_field(document, "backups", bool, False),
         copy_kept_s=float(_field(document, "handle-s", (int, float), 0)),
+        event_tokens=_field(document, "stride", int, 0),
     )
 
 
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -142,6 +142,11 @@
         )
         return head.encode("latin-1") + body
 
+    def encode_copy_release(self, reference: str) -> bytes:
+        """Returns the call that frees a moved copy at both of its ends."""
+        source, _, handle = reference.partition("/")
+        return f"DELETE /kv-handle/{handle} HTTP/1.1\r\nHost: {source}\r\n\r\n".encode("latin-1")
+
     def decode_copy_reply(self, response, source: str) -> str:
         """Returns the name of a moved copy: the source's address and the handle."""
         if response.status != 200:
--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -20,6 +20,7 @@
         runs: (request id, headers by lower-case name) of each request that it ran.
         turned_away: Ids of requests that it did not run.
         copies: Events made by run id, for the runs whose copy it holds.
+        freed: Handles of copies that were freed.
         left_by_caller: Ids of requests whose connection closed before their end.
         behaviour: Name of what happens to the next requests: see `BEHAVIOUR_BY_NAME`.
         events: Events of a stream.
@@ -34,6 +35,7 @@
         self.turned_away = []
         self.copies = {}
         self.left_by_caller = []
+        self.freed = []
         self.behaviour = "answer"
         self.events = 12
         self.event_seconds = 0.01
@@ -76,6 +78,10 @@
         if expected not in (None, self.worker_id):
             responder.send(421, [("X-Instance-Id", self.worker_id)])
             return
+        if request.path.startswith("/kv-handle/"):
+            self.freed.append(request.path.rpartition("/")[2])
+            responder.send(200, [])
+            return
         if request.path == "/kv-move":
             self._copy_order(request, responder)
             return
