--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -417,6 +417,8 @@
         started = clock.now()
         answer = await stream(path, "r1", **fields)
         assert answer.status == 503
+        assert answer.value_by_header["x-chiveswitch-code"] == "3003"
+        assert "retry-after" not in answer.value_by_header
         assert clock.now() - started < 0.25
         assert path.ran() == []
 
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -521,10 +521,12 @@
     forwarder, admitted = stream.forwarder, stream.admitted
     rejections = 0
     runs = 0
+    too_late = False
     reason = "no target"
     while admitted.left() > 0:
         if not stream.continues and admitted.left() < stream.least_read_s():
             reason = f"the prompt cannot be read in {admitted.left():.3f} s"
+            too_late = True
             break
         target, from_copy = stream.choose()
         if target is None:
@@ -596,4 +598,8 @@
         )
         admitted.responder.abort()
         return
+    if too_late:
+        # Coming back would not help: no time is left at any gateway.
+        forwarder.give_up(admitted, codes.Code.WAIT_EXPIRED, reason)
+        return
     forwarder.give_up(admitted, codes.Code.QUEUE_FULL, reason, FULL_RETRY_AFTER_SECONDS)
