--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -97,6 +97,10 @@
         """Returns what a node has logged."""
         return (self.folder / f"log-{number}").read_text()
 
+    def process_id(self, number):
+        """Returns the process id of a node."""
+        return self._process_by_ip[self.ips[number]].pid
+
     def signal(self, number, value):
         """Sends a signal to a node."""
         self._process_by_ip[self.ips[number]].send_signal(value)
@@ -139,6 +143,11 @@
         """Has a worker announce that it leaves."""
         self._state_by_id[worker.worker_id] = "draining"
 
+    def rename(self, worker, address):
+        """Has a worker announce another address, under which it is reached through a proxy."""
+        worker.address = address
+        self._by_address[address] = worker
+
     async def _announce(self, worker, service, zone):
         sequence = 0
         number = len(self.workers) % len(self.cluster.ips)
--- /dev/null
+++ b/features/forwarding_benchmark.py
@@ -0,0 +1,88 @@
+"""Measures the processor time of one node for each forwarded call and event.
+
+Run as `python -m features.forwarding_benchmark EMPTY_FOLDER`. Nodes run as processes of their own;
+callers and stand-in workers run in this one, so that only the first node's work is counted.
+"""
+
+import asyncio
+import pathlib
+import sys
+
+import psutil
+
+from chiveswitch.core import clock
+from chiveswitch.tools import node_test
+from features import platform_standins
+
+CALLS = 2000
+CONCURRENT = 8
+STREAMS = 40
+EVENTS = 200
+IDLE_SECONDS = 5.0
+
+
+def cpu_seconds(cluster) -> float:
+    """Returns the processor time that the first node has used."""
+    times = psutil.Process(cluster.process_id(0)).cpu_times()
+    return times.user + times.system
+
+
+async def call_all(cluster, prefix: str) -> list[float]:
+    """Sends the calls and returns their times in seconds, sorted."""
+    numbers = iter(range(CALLS))
+    seconds = []
+
+    async def worker():
+        for number in numbers:
+            started = clock.now()
+            answer = await node_test.caller(cluster, 0, f"{prefix}{number}")
+            assert answer.status == 200
+            seconds.append(clock.now() - started)
+
+    await asyncio.gather(*(worker() for _ in range(CONCURRENT)))
+    return sorted(seconds)
+
+
+async def measure(cluster, fleet):
+    """Prints the figures."""
+    process = psutil.Process(cluster.process_id(0))
+    before = cpu_seconds(cluster)
+    await asyncio.sleep(IDLE_SECONDS)
+    idle = (cpu_seconds(cluster) - before) / IDLE_SECONDS
+    before = cpu_seconds(cluster)
+    seconds = await call_all(cluster, "r")
+    per_call = (cpu_seconds(cluster) - before) / CALLS
+    direct = []
+    for _ in range(200):
+        started = clock.now()
+        await platform_standins.call(fleet.workers[0].address, "POST", "/w/x", {}, b"order")
+        direct.append(clock.now() - started)
+    direct.sort()
+    for worker in fleet.workers:
+        worker.events, worker.event_seconds = EVENTS, 0.002
+    before = cpu_seconds(cluster)
+    streams = [
+        platform_standins.call(
+            cluster.address(0, "front"), "POST", "/s/x", platform_standins.stream_headers(f"s{n}")
+        )
+        for n in range(STREAMS)
+    ]
+    answers = await asyncio.gather(*streams)
+    count = sum(len(answer.event_ids()) for answer in answers)
+    per_event = (cpu_seconds(cluster) - before) / count
+    print(f"idle: {idle * 100:.2f} % of a core with 5 targets announcing each 0.25 s")
+    print(f"call: {per_call * 1e6:.0f} us of processor time, {CALLS} calls, {CONCURRENT} at once")
+    p50, p99 = seconds[CALLS // 2], seconds[CALLS * 99 // 100]
+    print(f"call: p50 {p50 * 1e3:.2f} ms, p99 {p99 * 1e3:.2f} ms through the node")
+    print(f"call without the node, one at a time: p50 {direct[100] * 1e3:.2f} ms")
+    print(f"event: {per_event * 1e6:.0f} us of processor time, {count} events, {STREAMS} streams")
+    print(f"memory: {process.memory_info().rss / 1e6:.0f} MB resident")
+
+
+def main(folder: str):
+    """Runs the measurement in an empty folder."""
+    node_test.run(pathlib.Path(folder), measure, disks=3, others=0)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
