Let no other request of a session continue from a run's memory; log what other parts log

Cause: a caller that returns names only the last part of its prompt, which two requests of a session may share; the memory of the other one would be mixed in. Changes of the control leader were logged to a logger that nobody set up.

--- a/chiveswitch/core/decision_log.py
+++ b/chiveswitch/core/decision_log.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 import os
 import sys
 
@@ -69,14 +70,19 @@
             self.dropped += 1
             return
         self._tokens -= 1
-        words = [f"{part}: {event} at={now:.3f}"]
-        for name, value in fields.items():
-            if isinstance(value, float):
-                value = f"{value:.3f}"
-            elif isinstance(value, str) and (not value or " " in value):
-                value = f'"{value}"'
-            words.append(f"{name}={value}")
-        self._lines.append(" ".join(words))
+        self._lines.append(_format(f"{part}: {event} at={now:.3f}", fields))
+        self._flush_later()
+
+    def text(self, message: str):
+        """Adds a line of the standard logger, whose message starts with its part's prefix."""
+        if self._tokens < 1:
+            self.dropped += 1
+            return
+        self._tokens -= 1
+        self._lines.append(f"{' '.join(message.split())} at={self._now():.3f}")
+        self._flush_later()
+
+    def _flush_later(self):
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(FLUSH_SECONDS, self.flush)
 
@@ -101,3 +107,29 @@
         except BlockingIOError:
             return
         self._waiting = self._waiting[written:]
+
+
+def _format(head: str, fields: dict) -> str:
+    words = [head]
+    for name, value in fields.items():
+        if isinstance(value, float):
+            value = f"{value:.3f}"
+        elif isinstance(value, str) and (not value or " " in value):
+            value = f'"{value}"'
+        words.append(f"{name}={value}")
+    return " ".join(words)
+
+
+class Handler(logging.Handler):
+    """Passes what the standard loggers of the event loop's thread log on to a decision log."""
+
+    def __init__(self, log: DecisionLog):
+        super().__init__()
+        self._log = log
+
+    def emit(self, record):
+        """Adds a record, with its exception in short."""
+        message = record.getMessage()
+        if record.exc_info and record.exc_info[1] is not None:
+            message = f"{message}: {record.exc_info[1]!r}"
+        self._log.text(message)
--- a/chiveswitch/core/decision_log_test.py
+++ b/chiveswitch/core/decision_log_test.py
@@ -1,6 +1,7 @@
 """Tests of the decision log: bounded, and never blocking."""
 
 import asyncio
+import logging
 import os
 
 from chiveswitch.core import decision_log
@@ -45,3 +46,27 @@
     assert b'reason="two words"' in text
     os.close(reader)
     os.close(writer)
+
+
+def test_the_lines_of_standard_loggers_are_passed_on():
+    # Guards against changes of the control leader that nobody can see.
+    reader, writer = os.pipe()
+
+    async def fill():
+        log = decision_log.DecisionLog(writer)
+        logger = logging.Logger("test", logging.INFO)
+        logger.addHandler(decision_log.Handler(log))
+        logger.info("control: %s in term %s", "leader", 4)
+        try:
+            raise ValueError("a\nfault")
+        except ValueError:
+            logger.exception("control: a task failed")
+        log.flush()
+
+    asyncio.run(fill())
+    lines = os.read(reader, 1 << 16).decode().split("\n")
+    assert lines[0].startswith("control: leader in term 4 at=")
+    assert lines[1].startswith("control: a task failed: ValueError(")
+    assert lines[2:] == [""]
+    os.close(reader)
+    os.close(writer)
--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -366,6 +366,22 @@
     run(scenario, tmp_path)
 
 
+def test_another_request_of_a_session_does_not_continue_from_its_memory(tmp_path):
+    # Guards against a response that mixes two requests with the same last part of the prompt.
+    async def scenario(path):
+        found = await engines(path)
+        found[1].copies["old-run"] = 7
+        known = streams.placement.Run("old-run", "bb", 901, 800, "other", clock.now())
+        known.target_id, known.copy_target_id = "e0", "e1"
+        known.copy_reference = f"{found[1].address}/old-run"
+        path.gateway.runs.put(known)
+        answer = await stream(path, "r2", **{"Last-Event-Id": "7"})
+        assert answer.event_ids() == [8, 9, 10, 11]
+        assert all("kv-from" not in run[1] for worker in found for run in worker.runs)
+
+    run(scenario, tmp_path)
+
+
 def test_a_copy_is_ordered_again_after_its_holder_is_lost(tmp_path):
     # Pattern: zones fail one after the other; a run that lost its copy was read again at the next.
     async def scenario(path):
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -121,6 +121,9 @@
         known = self.forwarder.runs.of_session(self.admitted.caller.session)
         if known is None or known.ended or self.admitted.caller.last_event_id is None:
             return
+        # Another request of the session must not continue from this one's memory.
+        if known.tokens != self.run.tokens:
+            return
         holder = self.forwarder.table.find(known.copy_target_id)
         if holder is None:
             return
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -116,6 +116,11 @@
         """
         self.settings = settings
         self.log = decision_log.DecisionLog()
+        # Changes of the control leader and faults of other parts; standard error could block.
+        parts = logging.getLogger("chiveswitch")
+        parts.setLevel(logging.INFO)
+        parts.propagate = False
+        parts.addHandler(decision_log.Handler(self.log))
         self.metrics = metrics.Metrics()
         self.table = target_table.TargetTable(self._target_left, self._report_loss)
         self.forwarder = forwarder.Forwarder(
