Weigh running requests by what a read prompt costs them

Cause: median streams took 6.3 s where 4.8 s are possible, since prompts were read beside running requests while other engines had fewer. Ruled out: queued prompts (first events at 1.3 s).

--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -9,8 +9,9 @@
 
 # Tokens that an engine reads in a second, for comparing queued prompts with running requests.
 READ_TOKENS_PER_SECOND = 8000.0
-# Seconds by which a running request delays another one at the same engine, in units of the score.
-RUNNING_WEIGHT = 0.15
+# Seconds that the reading of a prompt of 8,000 tokens costs each request that runs there: it slows
+# their tokens to a ninth for a second, most of which counts.
+RUNNING_WEIGHT = 0.6
 # What a target in another zone must be better by, in units of a full target.
 ZONE_WEIGHT = 0.05
 # What the average of failures weighs, in units of a full target.
--- a/chiveswitch/core/placement_test.py
+++ b/chiveswitch/core/placement_test.py
@@ -47,6 +47,17 @@
         assert chosen.target_id == "a1"
 
 
+def test_prompts_are_read_where_few_requests_run():
+    # Pattern: steady load; each prompt that is read slows the tokens of all requests beside it, so
+    # that an engine with three of them is worse than one that still reads half a prompt.
+    table = fleet("a", 2)
+    loads = {"a0": (3, 3 * TOKENS, 0), "a1": (1, TOKENS, 4_000)}
+    for number in range(50):
+        targets = table.of_service("s")
+        chosen = placement.choose_engine(targets, loads, ENGINE, TOKENS, f"s{number}", NOW)
+        assert chosen.target_id == "a1"
+
+
 def test_a_run_goes_where_its_memory_fits():
     # Pattern: burst of long prompts; a run that does not fit waits or preempts another one.
     table = fleet("a", 2)
