--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -12,6 +12,8 @@
 # Seconds that the reading of a prompt of 8,000 tokens costs each request that runs there: it slows
 # their tokens to a ninth for a second, most of which counts.
 RUNNING_WEIGHT = 0.6
+# Seconds until memory becomes free at a full engine: several streams of 5 s run there.
+NO_ROOM_SECONDS = 2.0
 # What a target in another zone must be better by, in units of a full target.
 ZONE_WEIGHT = 0.05
 # What the average of failures weighs, in units of a full target.
@@ -20,7 +22,7 @@
 SPREAD = 0.1
 # Engines that are drawn for a session before the best of them is chosen. Gateways decide at the
 # same moment on the same reports, above all after the loss of a zone: one would get all runs.
-DRAWN_ENGINES = 3
+DRAWN_ENGINES = 4
 # What each place in the session's order weighs, in seconds: a caller that returns after the loss of
 # its gateway finds its prompt at the first engine of the order, unless that one was busy.
 ORDER_WEIGHT = 0.1
@@ -191,7 +193,9 @@
             running = max(running, sum(target.load))
         score = reading / READ_TOKENS_PER_SECOND + RUNNING_WEIGHT * running
         # A run that does not fit waits, or preempts another one, until memory is free.
-        score += max(0, held + tokens - engine.memory_tokens) / READ_TOKENS_PER_SECOND
+        missing = held + tokens - engine.memory_tokens
+        if missing > 0:
+            score += NO_ROOM_SECONDS + missing / READ_TOKENS_PER_SECOND
         score += max(0, running + 1 - engine.slots)
         score += FAILURE_WEIGHT * target.failures + ORDER_WEIGHT * place
         if best is None or score < best_score:
