--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -157,7 +157,9 @@
         patience = DEFAULT_WAIT_SECONDS if caller.wait_s is None else caller.wait_s
         until = request.received_at + min(START_WAIT_SECONDS, patience * START_WAIT_SHARE)
         until = min(until, self._started_at + START_SECONDS)
-        while not is_known() and clock.now() < until:
+        while True:
+            if is_known() or clock.now() >= until:
+                return
             await asyncio.sleep(START_POLL_SECONDS)
 
     def spawn(self, coroutine):
