--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -123,17 +123,7 @@
     dialect = forwarder.dialect
     options = forwarder.options(admitted, target)
     admitted.sends += 1
-    forwarder.log.line(
-        "gateway",
-        "sent",
-        request=admitted.caller.request_id,
-        route=admitted.route.name,
-        bundle=admitted.bundle.version,
-        target=target.target_id,
-        zone=target.zone,
-        load_age=started - target.load_at if target.load_at else -1.0,
-        left=admitted.left(),
-    )
+    forwarder.log_sent(admitted, target)
     was_uncertain = admitted.may_have_run
     # Until the target has stated otherwise, a byte that was sent may have made it run.
     admitted.may_have_run = True
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -272,6 +272,21 @@
             admitted.request, admitted.responder, admitted.caller, code, reason, retry_after_s
         )
 
+    def log_sent(self, admitted: Admitted, target, **details):
+        """Logs that a request goes to a target, with details of its kind."""
+        self.log.line(
+            "gateway",
+            "sent",
+            request=admitted.caller.request_id,
+            route=admitted.route.name,
+            bundle=admitted.bundle.version,
+            target=target.target_id,
+            zone=target.zone,
+            load_age=clock.now() - target.load_at if target.load_at else -1.0,
+            **details,
+            left=admitted.left(),
+        )
+
     def answered(self, admitted: Admitted, target, status: int, **details):
         """Logs the end of a request that a target answered, with details of its kind."""
         self.metrics.count(f"answered_{status // 100}xx")
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -9,6 +9,7 @@
 
 from chiveswitch.core import clock, codes, detector, events, placement, routing
 from chiveswitch.forwarding import channel as channels
+from chiveswitch.forwarding import copies
 from chiveswitch.forwarding import forwarder as forwarding
 
 # Silence in seconds before the first event after which it is checked that the engine still
@@ -23,14 +24,6 @@
 MOVE_SHARE = 0.75
 # The same for a stream without a copy, for which a move means to read the whole prompt again.
 MOVE_SHARE_WITHOUT_COPY = 3.0
-# Part of the time for which an ordered copy is kept, after which the order is repeated.
-COPY_REFRESH_SHARE = 0.7
-# Longest wait in seconds for a copy: 9,000 tokens take 10 to 100 ms, queued behind others.
-COPY_SECONDS = 1.0
-# Seconds that a stream must still take for a further copy to be worth its memory.
-COPY_LEFT_SECONDS = 0.8
-# Least seconds between two orders for one run.
-COPY_PAUSE_SECONDS = 0.3
 # Longest pause in seconds on routes that state none.
 DEFAULT_GAP_SECONDS = 1.0
 # Part of the time that an idle engine needs to read the whole prompt below which a stream that has
@@ -60,8 +53,7 @@
         first_event_s: Seconds from the arrival to the first event, or None.
         longest_pause_s: Longest pause in seconds between two events so far.
         delivered_at: Time of the last delivery.
-        copied_at: Time at which a copy was ordered, None if the engine sends it by itself.
-        next_copy_at: Time before which no further copy is ordered.
+        copies: `copies.Copies` of the run.
     """
 
     __slots__ = (
@@ -77,8 +69,7 @@
         "first_event_s",
         "longest_pause_s",
         "delivered_at",
-        "copied_at",
-        "next_copy_at",
+        "copies",
     )
 
     def __init__(self, forwarder, admitted):
@@ -104,8 +95,7 @@
         self.first_event_s = None
         self.longest_pause_s = 0.0
         self.delivered_at = now
-        self.copied_at = None
-        self.next_copy_at = now
+        self.copies = copies.Copies(forwarder, admitted, self.run, self.publish)
 
     def least_read_s(self) -> float:
         """Returns the seconds below which no engine can read the prompt."""
@@ -165,128 +155,15 @@
         chosen = placement.choose_engine(targets, loads, engine, self.run.tokens, session, now)
         return chosen, False
 
-    def choose_copy(self, target) -> str:
-        """Chooses the engine that gets the copy; returns its address or an empty string."""
-        self.run.copy_target_id = ""
-        self.run.copy_reference = ""
-        self.copied_at = None
-        holder = self.find_holder(target)
-        if holder is None:
-            return ""
-        self.run.copy_target_id = holder.target_id
-        self.run.copy_reference = self.forwarder.dialect.copy_reference(
-            holder.address, self.admitted.caller.request_id
-        )
-        return holder.address
-
-    def find_holder(self, target):
-        """Returns an engine in another zone with room for a copy of the run, or None."""
-        engine = self.admitted.service.engine
-        if engine is None or not engine.copies or not self.admitted.route.resumable:
-            return None
-        forwarder = self.forwarder
-        now = clock.now()
-        return placement.choose_copy(
-            forwarder.table.of_service(self.admitted.service.name),
-            forwarder.runs.load_by_target(now),
-            engine,
-            self.run.tokens,
-            {target.zone},
-            now,
-            forwarder.rng,
-        )
-
-    def needs_copy(self, now) -> bool:
-        """Says whether the copy was lost, or was ordered and will soon be dropped."""
-        engine = self.admitted.service.engine
-        if engine is None or not engine.copies or not self.admitted.route.resumable:
-            return False
-        if now < self.next_copy_at or self.left_s(engine) < COPY_LEFT_SECONDS:
-            return False
-        holder = self.forwarder.table.find(self.run.copy_target_id)
-        if holder is None or holder.avoided_until > now:
-            return True
-        # A holder that leaves gets no new work, and so cannot continue the run.
-        if self.forwarder.table.is_draining(holder.target_id):
-            return True
-        kept = engine.copy_kept_s * COPY_REFRESH_SHARE
-        return self.copied_at is not None and now - self.copied_at > kept
-
-    def left_s(self, engine) -> float:
+    def left_s(self) -> float:
         """Returns the seconds that the stream may still take, at its pace so far."""
-        if not engine.event_tokens or self.delivered < 2 or self.first_event_s is None:
+        engine = self.admitted.service.engine
+        if engine is None or not engine.event_tokens or self.delivered < 2:
             return self.admitted.left()
         events_left = self.admitted.caller.response_tokens / engine.event_tokens - self.delivered
         since_first = self.delivered_at - self.admitted.request.received_at - self.first_event_s
         return max(0.0, events_left) * since_first / (self.delivered - 1)
 
-    async def release_copy(self, source):
-        """Frees an ordered copy that is not needed any more, at both of its ends."""
-        forwarder = self.forwarder
-        channel = await forwarder.pool.acquire(
-            source.target_id, source.address, False, CHECK_SECONDS
-        )
-        if channel is None:
-            # The engines drop the copy by themselves after a while.
-            return
-        channel.send(forwarder.dialect.encode_copy_release(self.run.copy_reference), ("", ""))
-        if await channel.whole_response(clock.now() + CHECK_SECONDS) is None:
-            channel.abort()
-            return
-        forwarder.pool.release(channel)
-
-    async def copy_again(self, target):
-        """Has the engine copy the run's memory to another one while the run continues."""
-        forwarder = self.forwarder
-        run = self.run
-        started = clock.now()
-        self.next_copy_at = started + COPY_PAUSE_SECONDS
-        holder = None
-        if self.copied_at is not None:
-            # A repeated order copies only what is new.
-            holder = forwarder.table.find(run.copy_target_id)
-        leaves = forwarder.table.is_draining(run.copy_target_id)
-        if holder is None or leaves or holder.avoided_until > started:
-            holder = self.find_holder(target)
-        if holder is None:
-            return
-        channel = await forwarder.pool.acquire(
-            target.target_id, target.address, False, COPY_SECONDS
-        )
-        if channel is None:
-            return
-        channel.send(
-            forwarder.dialect.encode_copy_order(run.run_id, target.address, holder.address),
-            ("", ""),
-        )
-        reference = ""
-        try:
-            response = await channel.whole_response(started + COPY_SECONDS)
-            if response is not None:
-                reference = forwarder.dialect.decode_copy_reply(response, target.address)
-        finally:
-            if channel.response.complete:
-                forwarder.pool.release(channel)
-            else:
-                channel.abort()
-        forwarder.metrics.count("copies_ordered")
-        forwarder.log.line(
-            "gateway",
-            "copy",
-            request=run.run_id,
-            target=target.target_id,
-            before=run.copy_target_id,
-            holder=holder.target_id,
-            outcome=reference or f"status {channel.response.status}",
-            took=clock.now() - started,
-        )
-        if not reference:
-            return
-        run.copy_target_id = holder.target_id
-        run.copy_reference = reference
-        self.copied_at = clock.now()
-        self.publish()
-
     # One send.
 
     async def open(self, target, from_copy) -> channels.Channel | None:
@@ -303,27 +180,20 @@
         options.last_event_id = self.buffer.last_id
         if from_copy:
             options.memory_reference = self.run.copy_reference
-        options.copy_address = self.choose_copy(target)
+        options.copy_address = self.copies.choose(target)
         self.run.target_id = target.target_id
         self.run.run_id = admitted.caller.request_id
         self.run.reading = 0 if from_copy else admitted.caller.prompt_tokens
         self.publish()
         admitted.sends += 1
         self.buffer.restart()
-        forwarder.log.line(
-            "gateway",
-            "sent",
-            request=admitted.caller.request_id,
-            route=admitted.route.name,
-            bundle=admitted.bundle.version,
-            target=target.target_id,
-            zone=target.zone,
-            load_age=clock.now() - target.load_at if target.load_at else -1.0,
+        forwarder.log_sent(
+            admitted,
+            target,
             from_copy=int(from_copy),
             copy=self.run.copy_target_id,
             after_event=self.buffer.last_id if self.buffer.last_id is not None else -1,
             tokens=self.run.tokens,
-            left=admitted.left(),
         )
         channel.send(
             forwarder.dialect.encode_request(admitted.request, admitted.caller, options),
@@ -373,8 +243,9 @@
                         await responder.drained()
                     heard_at = now
                     confirmed = False
-                    if got_events and (copying is None or copying.done()) and self.needs_copy(now):
-                        copying = asyncio.get_running_loop().create_task(self.copy_again(target))
+                    idle = copying is None or copying.done()
+                    if got_events and idle and self.copies.is_needed(self.left_s(), now):
+                        copying = asyncio.get_running_loop().create_task(self.copies.order(target))
                 if self.buffer.fault:
                     return self.buffer.fault
                 if response.complete and accepted:
@@ -457,8 +328,8 @@
             responder.begin(channel.response.status, headers, channel.response.reason)
         responder.finish()
         self.forwarder.pool.release(channel)
-        if self.copied_at is not None:
-            self.forwarder.spawn(self.release_copy(target))
+        if self.copies.ordered_at is not None:
+            self.forwarder.spawn(self.copies.release(target))
         self.forwarder.metrics.observe("longest_pause", self.longest_pause_s)
         self.forwarder.answered(
             self.admitted,
