--- a/chiveswitch/core/node_settings.py
+++ b/chiveswitch/core/node_settings.py
@@ -16,7 +16,6 @@
         name: Unique name of the node.
         availability_zone: Its zone.
         region: Its region.
-        region_by_zone: Regions of all zones.
         peer_address: Own `ip:port` for other processes of the system.
         seeds: Peer addresses of processes that know the others, maybe.
         first_start: Whether the system starts for the first time, with empty disks.
@@ -39,7 +38,6 @@
         "name",
         "availability_zone",
         "region",
-        "region_by_zone",
         "peer_address",
         "seeds",
         "first_start",
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -10,8 +10,6 @@
 DEFAULT_WAIT_SECONDS = 60.0
 # What is kept of the time left for the response's way back, in seconds.
 RETURN_SECONDS = 0.01
-# Longest time in seconds after which a refused caller may return: a lost target is back by then.
-RETRY_AFTER_MAX_SECONDS = 2.0
 # Streams that arrive later than this part of the grace time after the stop began would be cut.
 STREAM_SHARE_OF_GRACE = 0.25
 
--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -385,12 +385,6 @@
         """Ends connections after their present response; new ones are still accepted."""
         self.closing = True
 
-    def close_idle(self):
-        """Closes connections without a request."""
-        for connection in list(self.connections):
-            if not connection.busy:
-                connection.close()
-
     async def close(self):
         """Stops listening and closes all connections."""
         if self._sweeper is not None:
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -48,7 +48,6 @@
         delivered: Number of events handed to the caller.
         excluded: Ids of targets that failed or turned the stream away.
         continues: Whether the next send continues from the copy's memory.
-        first_target: The target whose response head the caller got, or None.
         gap_s: Longest pause in seconds that is on time.
         first_event_s: Seconds from the arrival to the first event, or None.
         longest_pause_s: Longest pause in seconds between two events so far.
@@ -64,7 +63,6 @@
         "delivered",
         "excluded",
         "continues",
-        "first_target",
         "gap_s",
         "first_event_s",
         "longest_pause_s",
@@ -90,7 +88,6 @@
         self.delivered = 0
         self.excluded = set()
         self.continues = False
-        self.first_target = None
         self.gap_s = admitted.route.gap_objective_s or DEFAULT_GAP_SECONDS
         self.first_event_s = None
         self.longest_pause_s = 0.0
@@ -239,7 +236,7 @@
                             got_events = True
                             self.run.reading = 0
                         target.heard(now)
-                        self.deliver(target, channel, data, count)
+                        self.deliver(channel, data, count)
                         await responder.drained()
                     heard_at = now
                     confirmed = False
@@ -301,11 +298,10 @@
         asyncio.get_running_loop().call_soon(channel.wake)
         return opened is not None
 
-    def deliver(self, target, channel, data, count):
+    def deliver(self, channel, data, count):
         """Writes events to the caller, after the head of the first engine's response."""
         responder = self.admitted.responder
         if not responder.begun:
-            self.first_target = target
             headers = self.forwarder.dialect.response_headers(channel.response)
             responder.begin(channel.response.status, headers, channel.response.reason)
         now = clock.now()
--- a/chiveswitch/platform/boot.py
+++ b/chiveswitch/platform/boot.py
@@ -24,35 +24,20 @@
 DEFAULT_HEARTBEAT_MS = 1200
 
 
-class Boot:
-    """What the daemon is started with.
-
-    Attributes:
-        settings: `node_settings.NodeSettings`.
-        serves: What the role serves besides callers: `control`, `directory`.
-    """
-
-    __slots__ = ("settings", "serves")
-
-    def __init__(self, settings, serves):
-        self.settings = settings
-        self.serves = serves
-
-
 def read(environment=os.environ) -> expression.Result:
-    """Returns Ok with the `Boot` of the process, or a list of failures."""
+    """Returns Ok with the `node_settings.NodeSettings` of the process, or a list of failures."""
     path = environment.get(FILE_VARIABLE, "")
     try:
         fields = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-        boot = _decode(fields, environment)
+        settings = _decode(fields, environment)
     except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         message = f"{FILE_VARIABLE}={path!r}: {error}"
         return expression.Error([codes.Failure(codes.Code.SETTING_INVALID, message)])
     except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
         message = f"{path}: a field is missing or has another type: {error!r}"
         return expression.Error([codes.Failure(codes.Code.SETTING_INVALID, message)])
-    errors = node_settings.check(boot.settings)
-    return expression.Error(errors) if errors else expression.Ok(boot)
+    errors = node_settings.check(settings)
+    return expression.Error(errors) if errors else expression.Ok(settings)
 
 
 def _decode(fields, environment):
@@ -61,11 +46,10 @@
     own_ip = fields["ip"]
     peer_port = fields["internal-port-range"][0]
     metrics_port, _, metrics_path = environment.get(METRICS_VARIABLE, "").partition("/")
-    settings = node_settings.NodeSettings(
+    return node_settings.NodeSettings(
         name=fields["node-name"],
         availability_zone=fields["zone"],
         region=fields["region"],
-        region_by_zone=dict(fields.get("zones", {})),
         peer_address=f"{own_ip}:{peer_port}",
         # The file names control addresses; the internal ports are the same on all machines.
         seeds=[f"{seed.rpartition(':')[0]}:{peer_port}" for seed in fields["seeds"]],
@@ -91,4 +75,3 @@
             bounds.get("budget-window-s", DEFAULT_WINDOW_SECONDS),
         ),
     )
-    return Boot(settings, list(fields["serves"]))
--- a/chiveswitch/platform/boot_test.py
+++ b/chiveswitch/platform/boot_test.py
@@ -37,7 +37,7 @@
 
 
 def test_the_file_becomes_settings(tmp_path):
-    settings = read(tmp_path, FILE, CHIVESWITCH_METRICS="9105/metrics").ok.settings
+    settings = read(tmp_path, FILE, CHIVESWITCH_METRICS="9105/metrics").ok
     assert settings.peer_address == "10.0.0.1:7200"
     assert settings.seeds == ["10.0.0.1:7200", "10.0.0.2:7200"]
     assert (settings.losses, settings.first_start, settings.heartbeat_s) == (2, True, 1.2)
--- a/chiveswitch/platform/daemon.py
+++ b/chiveswitch/platform/daemon.py
@@ -13,7 +13,7 @@
         for failure in read.error:
             print(f"{int(failure.code)} {failure.code.name} {failure.message}", file=sys.stderr)
         sys.exit(node.EXIT_SETTINGS)
-    settings = read.ok.settings
+    settings = read.ok
     listeners = [node.ApiListener(settings.ready_address, api.handle)]
     for address in (settings.control_address, settings.directory_address):
         if address:
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -7,8 +7,9 @@
 REQUEST_ID = "X-Request-Id"
 DEADLINE_MS = "X-Deadline-Ms"
 # The platform's "usage" is what may be used: prompt tokens, and the most output tokens.
-TOKEN_USAGE = "X-Token-Usage"
-PROMPT_PREFIX = "X-Prompt-Prefix"
+TOKEN_USAGE = "x-token-usage"
+# The parts of the prompt in order, as id:tokens; the last one is the request's or session's own.
+PROMPT_PREFIX = "x-prompt-prefix"
 LAST_EVENT_ID = "Last-Event-Id"
 # A worker's id names one start of it, not a place.
 EXPECT_INSTANCE = "X-Expect-Instance"
@@ -93,11 +94,11 @@
         last_event_id = value_by_header.get("last-event-id", "")
         if last_event_id.isdigit():
             caller.last_event_id = int(last_event_id)
-        usage = value_by_header.get("x-token-usage", "").split(",")
+        usage = value_by_header.get(TOKEN_USAGE, "").split(",")
         if len(usage) == 2:
             caller.prompt_tokens = int(_number(usage[0]) or 0)
             caller.response_tokens = int(_number(usage[1]) or 0)
-        last_part = value_by_header.get("x-prompt-prefix", "").rpartition(",")[2]
+        last_part = value_by_header.get(PROMPT_PREFIX, "").rpartition(",")[2]
         caller.session = last_part.partition(":")[0].strip()
         dropped = set()
         for name in value_by_header.get("connection", "").lower().split(","):
