Wait until all members listen before the stop signal in the restart test

Trace: with the first election within 0.4 s a majority serves before the slowest of five members has set up its signal handlers, so that the signal met a process that was still importing. The check that each member ends with 0 stays; only the moment of the signal is later.

--- a/chiveswitch/tools/control_test.py
+++ b/chiveswitch/tools/control_test.py
@@ -192,6 +192,20 @@
     asyncio.run(scenario())
 
 
+async def wait_listening(address):
+    host, _, port = address.rpartition(":")
+    end = clock.now() + 20.0
+    while True:
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            assert clock.now() < end, f"{address} does not listen"
+            await asyncio.sleep(0.05)
+            continue
+        writer.close()
+        return
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL])
 def test_restart_of_all_members_keeps_the_state(cell, number):
     # Guards against state that is in memory only, and against a SIGTERM that ends uncleanly.
@@ -202,6 +216,10 @@
         await asyncio.gather(
             *(client.propose(accept(each), clock.now() + 30.0) for each in range(100))
         )
+        # A majority serves before the slowest member has set up its signal handlers; a member
+        # that listens has done so.
+        for address in cell.addresses.values():
+            await wait_listening(address)
         for name in cell.addresses:
             cell.fleet.signal(name, number)
         for name in cell.addresses:
