Share the reading of a target's reply and the allowance of log lines

Calls and streams decoded a reply, noted its load and passed a whole response on in two places, and the two ways into the decision log took lines from its allowance apart. A channel to a target that began to leave is only reset, not given back first.

--- a/chiveswitch/core/decision_log.py
+++ b/chiveswitch/core/decision_log.py
@@ -62,27 +62,29 @@
             fields: Inputs and outcome; texts with spaces are quoted.
         """
         now = self._now()
+        if self._admit(now):
+            self._add(_format(f"{part}: {event} at={now:.3f}", fields))
+
+    def text(self, message: str):
+        """Adds a line of the standard logger, whose message starts with its part's prefix."""
+        now = self._now()
+        if self._admit(now):
+            self._add(f"{' '.join(message.split())} at={now:.3f}")
+
+    def _admit(self, now):
+        """Takes a line from the allowance, or counts it as dropped."""
         self._tokens = min(
             BURST_LINES, self._tokens + (now - self._filled_at) * MAX_LINES_PER_SECOND
         )
         self._filled_at = now
         if self._tokens < 1:
             self.dropped += 1
-            return
-        self._tokens -= 1
-        self._lines.append(_format(f"{part}: {event} at={now:.3f}", fields))
-        self._flush_later()
-
-    def text(self, message: str):
-        """Adds a line of the standard logger, whose message starts with its part's prefix."""
-        if self._tokens < 1:
-            self.dropped += 1
-            return
+            return False
         self._tokens -= 1
-        self._lines.append(f"{' '.join(message.split())} at={self._now():.3f}")
-        self._flush_later()
+        return True
 
-    def _flush_later(self):
+    def _add(self, line):
+        self._lines.append(line)
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(FLUSH_SECONDS, self.flush)
 
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -53,7 +53,6 @@
             continue
         # The target may have begun to leave while the channel was opened.
         if forwarder.table.is_draining(target.target_id):
-            forwarder.pool.release(channel)
             channel.abort()
             continue
         patience = _patience(admitted, target, runs) if repeatable else admitted.left()
@@ -68,14 +67,14 @@
         runs += 1
         response = outcome.response
         if response is not None and (response.status < 500 or not repeatable):
-            _answer(forwarder, admitted, target, response)
+            forwarder.pass_on(admitted, target, response)
             return
         reason = f"{target.target_id} {outcome.reason}"
         excluded.add(target.target_id)
         last = not repeatable or runs >= admitted.route.max_runs
         if last or admitted.left() < PATIENCE_MIN_SECONDS / 2 or not forwarder.may_retry(admitted):
             if response is not None:
-                _answer(forwarder, admitted, target, response)
+                forwarder.pass_on(admitted, target, response)
                 return
             break
         forwarder.log.line(
@@ -147,32 +146,14 @@
         if not channel.response.status:
             forwarder.table.lost(target, now)
         return Outcome(None, False, reason)
-    reply = dialect.decode_response(response)
     forwarder.pool.release(channel)
-    target.heard(now)
-    if reply.load is not None:
-        target.told_load(*reply.load, now)
+    reply = forwarder.take_reply(target, response)
+    if reply.not_run:
+        admitted.may_have_run = was_uncertain
+        return Outcome(None, True, f"turned it away with {response.status}")
     if not channel.is_for(admitted.caller.request_id) or response.status in (429, 503, 408, 421):
-        if reply.not_run:
-            admitted.may_have_run = was_uncertain
-            if reply.is_other_target:
-                forwarder.table.remove(target.target_id, now)
-            return Outcome(None, True, f"turned it away with {response.status}")
         # Without the statement that it did not run, the status promises nothing.
         target.finished(True, now - started)
         return Outcome(None, False, f"answered {response.status} for another request or unsure")
-    if reply.not_run:
-        admitted.may_have_run = was_uncertain
-        return Outcome(None, True, f"turned it away with {response.status}")
     target.finished(response.status >= 500, now - started)
     return Outcome(response, False, f"answered {response.status}")
-
-
-def _answer(forwarder, admitted, target, response):
-    forwarder.answered(admitted, target, response.status)
-    admitted.responder.send(
-        response.status,
-        forwarder.dialect.response_headers(response),
-        bytes(response.body),
-        response.reason,
-    )
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -270,6 +270,27 @@
             admitted.request, admitted.responder, admitted.caller, code, reason, retry_after_s
         )
 
+    def take_reply(self, target, response) -> exchange.Reply:
+        """Decodes a target's complete response and notes what it says of the target."""
+        now = clock.now()
+        reply = self.dialect.decode_response(response)
+        target.heard(now)
+        if reply.load is not None:
+            target.told_load(*reply.load, now)
+        if reply.is_other_target:
+            self.table.remove(target.target_id, now)
+        return reply
+
+    def pass_on(self, admitted: Admitted, target, response):
+        """Hands a target's complete response to the caller."""
+        self.answered(admitted, target, response.status)
+        admitted.responder.send(
+            response.status,
+            self.dialect.response_headers(response),
+            bytes(response.body),
+            response.reason,
+        )
+
     def log_sent(self, admitted: Admitted, target, **details):
         """Logs that a request goes to a target, with details of its kind."""
         self.log.line(
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -343,28 +343,16 @@
         response = await channel.whole_response(clock.now() + CHECK_SECONDS)
         if response is None:
             return channel.broken or "an incomplete refusal"
-        reply = forwarder.dialect.decode_response(response)
-        status = response.status
-        now = clock.now()
-        target.heard(now)
-        if reply.load is not None:
-            target.told_load(*reply.load, now)
         forwarder.pool.release(channel)
+        reply = forwarder.take_reply(target, response)
+        status = response.status
         if reply.not_run:
             admitted.may_have_run = was_uncertain
-            if reply.is_other_target:
-                forwarder.table.remove(target.target_id, now)
             return "rejected"
         if status == 200 or status >= 500 or status in (408, 421, 429):
             return f"answered {status}"
         if not admitted.responder.begun:
-            admitted.responder.send(
-                status,
-                forwarder.dialect.response_headers(response),
-                bytes(response.body),
-                response.reason,
-            )
-            forwarder.answered(admitted, target, status)
+            forwarder.pass_on(admitted, target, response)
             return "ended"
         return f"answered {status}"
 
