--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -153,10 +153,7 @@
         wanted = set(self.members.addresses or self._seeds) - {self._own_address}
         # Seeds are asked until the members are known.
         for address in wanted - set(self._task_by_address):
-            state = HubState(address, links.Link(address, ping_interval=links.NO_PING_SECONDS))
-            self.state_by_address[address] = state
-            task = asyncio.get_running_loop().create_task(self._watch(state))
-            self._task_by_address[address] = task
+            self._start_watch(address)
         for address in set(self._task_by_address) - wanted:
             self._task_by_address.pop(address).cancel()
             state = self.state_by_address.pop(address)
@@ -209,9 +206,9 @@
         if not self.reachable():
             for address in self._seeds:
                 if address not in self._task_by_address and address != self._own_address:
-                    self._ask_seed(address)
+                    self._start_watch(address)
 
-    def _ask_seed(self, address):
+    def _start_watch(self, address):
         state = HubState(address, links.Link(address, ping_interval=links.NO_PING_SECONDS))
         self.state_by_address[address] = state
         task = asyncio.get_running_loop().create_task(self._watch(state))
