Say "unknown" when a refused resend of a repeatable call may have run

Cause: a gateway answered a resend of an idempotent call with NO_TARGET and run "not_run", although another gateway had run the first submission. The refusal at admission already took the resend into account, the refusal after it did not.

Ruled out: the state machine of the call, which never says "not run" for its own sends after a write. Unrepeatable calls keep their answer: one permit at control speaks for all submissions of the key.

The fake gateway reports `run` as the interface does, and the oracle takes a response as "not run" only if it says so: for a resend the code alone does not, see `codes.to_json`.

--- a/chiveswitch/core/calls.py
+++ b/chiveswitch/core/calls.py
@@ -155,6 +155,19 @@
         self.wait_s = wait_s
 
 
+def covers_all_sends(is_first_send: bool, key: str, repeatable: bool) -> bool:
+    """Returns whether the outcome of a call speaks for every submission under its key.
+
+    Args:
+        is_first_send: Whether the caller says that it never sent the call before.
+        key: The caller's key, or empty.
+        repeatable: Whether the service's calls may be repeated. Control keeps one permit for all
+            submissions of an unrepeatable call, while another gateway may have run a repeatable
+            one that this gateway knows nothing of.
+    """
+    return is_first_send or not key or not repeatable
+
+
 # One machine serves all calls, because building one per call costs more than the call.
 LIFECYCLE = transitions.Machine(
     model=None,
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -14,6 +14,7 @@
 from chiveswitch.core import (
     addresses,
     bundles,
+    calls,
     clock,
     codes,
     detector,
@@ -174,7 +175,8 @@
         self.telemetry.timing("call", clock.now() - now)
         if response.code is not codes.Code.OK:
             self.telemetry.count(f"refused.{response.code.name}")
-            return callers_app.error_response(response.code, response.message)
+            covers_all = calls.covers_all_sends(is_first_send, key, service.repeatable)
+            return callers_app.error_response(response.code, response.message, covers_all)
         return callers_app.raw_response(response.body, response.status)
 
     def status(self) -> dict:
--- /dev/null
+++ b/chiveswitch/tools/gateway_test.py
@@ -0,0 +1,36 @@
+"""Tests of a gateway's responses to plain service calls, with the call itself replaced."""
+
+import asyncio
+import unittest.mock
+
+import orjson
+import pytest
+
+from chiveswitch.core import calls, codes
+from chiveswitch.tools import gateway
+
+
+def refuse(repeatable, is_first_send) -> dict:
+    """Returns the JSON response to a call for which no target is ready."""
+    stub = unittest.mock.MagicMock()
+    stub._next_call = 0
+    stub.core.permitted.return_value = None
+    stub.core.admit_call.return_value = None
+    stub.core.service.return_value.repeatable = repeatable
+    refusal = calls.Respond(codes.Code.NO_TARGET, 0, b"", "no target is ready")
+    stub._calls.run = unittest.mock.AsyncMock(return_value=refusal)
+    call = gateway.Gateway.call(stub, "planning", "key-1", is_first_send, "stock", {}, "")
+    return orjson.loads(asyncio.run(call).body)
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "is_first_send", "run"),
+    [
+        (True, True, codes.Run.NOT_RUN),
+        (True, False, codes.Run.UNKNOWN),
+        (False, False, codes.Run.NOT_RUN),
+    ],
+)
+def test_refusal_says_not_run_only_if_it_speaks_for_all_sends(repeatable, is_first_send, run):
+    """Guards against "not run" for a repeated call that another gateway has run."""
+    assert refuse(repeatable, is_first_send)["run"] == run.value
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -896,12 +896,13 @@
 class UnaryCall:
     """A caller's plain service call, as it reaches a gateway."""
 
-    def __init__(self, account, service, key, body, repeatable):
+    def __init__(self, account, service, key, body, repeatable, is_first_send):
         self.account = account
         self.service = service
         self.key = key
         self.body = body
         self.repeatable = repeatable
+        self.is_first_send = is_first_send
 
 
 class Call:
@@ -1012,7 +1013,10 @@
 
     def _respond(self, action):
         if self.host.reader_by_id.pop(self.caller.id, None) is not None:
-            self.caller.push("response", action.code, action.body)
+            event = self.event
+            covers_all = calls.covers_all_sends(event.is_first_send, event.key, event.repeatable)
+            run = codes.to_json(action.code, "", covers_all)["run"]
+            self.caller.push("response", action.code, action.body, run)
 
 
 EXECUTE_BY_CALL_ACTION = {
@@ -1034,6 +1038,7 @@
         events: Everything it received, as (time, connection number, event), for the oracle.
         tokens, name, seed, complete: The response so far.
         codes: Result codes received, as (time, code).
+        fate_unknown_at: Times of the responses that say that the call may have run.
     """
 
     def __init__(self, world, service, prompt, max_tokens=24, streamed=True, chosen=False):
@@ -1047,6 +1052,7 @@
         self.account = "planning"
         self.events = []
         self.codes = []
+        self.fate_unknown_at = []
         self.asked = []
         self.tokens, self.name_of_answer, self.seed = [], "", None
         self.complete = self.finished = self.cancelled = False
@@ -1096,7 +1102,9 @@
         if self.service in ("stock", "dispatch"):
             repeatable = self.service == "stock"
             key = self.request_id
-            return UnaryCall(self.account, self.service, key, self.prompt.encode(), repeatable)
+            is_first = len(self.asked) == 1
+            body = self.prompt.encode()
+            return UnaryCall(self.account, self.service, key, body, repeatable, is_first)
         if self.cancelled:
             return outward.Cancel(reader, self.account, self.request_id)
         if self._posted:
@@ -1173,8 +1181,10 @@
         self.finished = True
         self.connection.close()
 
-    def _responded(self, code, body):
+    def _responded(self, code, body, run):
         self.codes.append((self.world.now, code))
+        if run == codes.Run.UNKNOWN.value:
+            self.fate_unknown_at.append(self.world.now)
         if code is codes.Code.OK:
             self.response = body
             self.complete = True
--- a/features/fault_matrix_test.py
+++ b/features/fault_matrix_test.py
@@ -288,6 +288,16 @@
     assert not run.violations and not run.incomplete
 
 
+def test_refused_resend_of_a_call_that_ran_is_not_called_not_run():
+    """Guards against "not run" for a call that an earlier submission has run elsewhere."""
+    strikes = (
+        ("call:IdempotentCall.writing", "long pause and return"),
+        ("gateway:BundleConfirmed", "long pause and return"),
+    )
+    run = faults.Run("idempotent call", strikes, 430)
+    assert not run.violations and not run.incomplete
+
+
 def test_actions_of_the_gateway_are_messages():
     """Guards against an action type that has no name in the step list."""
     for action in fakes.EXECUTE_BY_ACTION:
--- a/features/oracle.py
+++ b/features/oracle.py
@@ -63,7 +63,7 @@
     starts = [at for at, prompt, _ in world.attempts if prompt == caller.prompt]
     starts += [at for at, _, key, _ in world.executions if key == caller.request_id]
     for told, code in caller.codes:
-        if int(code) not in NOT_RUN:
+        if int(code) not in NOT_RUN or told in caller.fate_unknown_at:
             continue
         asked_later = [at for at in caller.asked if at > told]
         until = min(asked_later, default=float("inf"))
