Do not forget requests whose holders a gateway cannot hear

Now it answers JOURNAL_UNAVAILABLE while gateways of as many availability zones as a majority of the copies were heard in the last 30 s and are not heard now.

--- a/chiveswitch/core/directory.py
+++ b/chiveswitch/core/directory.py
@@ -374,8 +374,10 @@
             if entry.changed <= since or entry.description.id == request.asker:
                 continue
             age = now - entry.basis
-            # A stale `ready` row is of no use to the asker. A final state is, until it is dropped.
-            if age > (KEEP_S if entry.state in FINAL_STATES else STALE_S):
+            # A stale `ready` row of a target is of no use to the asker. A final state is, until it
+            # is dropped, and a gateway that is out of reach may hold journals.
+            is_kept = entry.state in FINAL_STATES or entry.description.kind == "gateway"
+            if age > (KEEP_S if is_kept else STALE_S):
                 continue
             rows.append(_row(entry, age))
         descriptions = []
--- a/chiveswitch/core/takeovers.py
+++ b/chiveswitch/core/takeovers.py
@@ -3,6 +3,7 @@
 
 from chiveswitch.core import (
     codes,
+    directory,
     generation,
     generation_messages,
     headers,
@@ -99,12 +100,8 @@
             actions: List that the actions are appended to.
         """
         core = self.core
-        # A gateway that has just started knows no other one, so that it would call a request
-        # unknown that others hold. One whose settings name only itself has nobody to wait for.
-        if core.settings.peers != 1 and not core.directory.is_complete(now):
-            failure = codes.Failure(
-                codes.Code.JOURNAL_UNAVAILABLE, "This gateway is cut off from the other gateways."
-            )
+        failure = self._cut_off(now)
+        if failure is not None:
             fail_waiting([] if event is None else [event], failure, actions)
             return
         takeover = replication.Takeover(
@@ -168,6 +165,11 @@
         asking = self._asking_by_key.get(event.key)
         if asking is None:
             return
+        failure = self._cut_off(now)
+        if failure is not None:
+            del self._asking_by_key[event.key]
+            fail_waiting(asking.waiting, failure, actions)
+            return
         if event.header is not None:
             asking.header = event.header
             actions.append(messages.ClaimGeneration(event.key, event.generation))
@@ -187,8 +189,11 @@
         asking = self._asking_by_key.pop(event.key, None)
         if asking is None:
             return
-        if event.failure is not None:
-            fail_waiting(asking.waiting, event.failure, actions)
+        # Without the other gateways the new journal would have a single copy, and would replace
+        # this gateway's copy of a journal that they may still hold.
+        failure = event.failure or self._cut_off(now)
+        if failure is not None:
+            fail_waiting(asking.waiting, failure, actions)
             return
         result = headers.decode(asking.header)
         if result.is_error():
@@ -213,6 +218,18 @@
             asking.replaced,
         )
 
+    def _cut_off(self, now):
+        """Returns the failure of a gateway that does not hear the other gateways, or None.
+
+        A gateway that has just started knows no other one, so that it would call a request unknown
+        that others hold. One whose settings name only itself has nobody to wait for.
+        """
+        if self.core.settings.peers == 1 or self.core.directory.is_complete(now):
+            return None
+        return codes.Failure(
+            codes.Code.JOURNAL_UNAVAILABLE, "This gateway is cut off from the other gateways."
+        )
+
     def _is_sought(self, key):
         return key in self._takeover_by_key or key in self._asking_by_key
 
@@ -280,8 +297,25 @@
         for event in waiting:
             core.join(request, event, now, actions)
 
+    def _may_be_out_of_reach(self, now):
+        """Returns whether all holders of a journal may be gateways that are not heard at present.
+
+        Holders are in different zones, and a majority of them has a copy. Gateways that stopped
+        in an orderly way have handed theirs over.
+        """
+        majority = (self.core.settings.copies or 3) // 2 + 1
+        zones = set()
+        for entry in self.core.directory.suspected_gateways(now, directory.STALE_S):
+            if entry.state not in directory.FINAL_STATES:
+                zones.add(entry.description.availability_zone)
+        return len(zones) >= majority
+
     def _failed(self, key, failure, pending, now, actions):
         self._retry_at_by_key[key] = now + RETRY_S
+        if failure.code is codes.Code.REQUEST_UNKNOWN and self._may_be_out_of_reach(now):
+            failure = codes.Failure(
+                codes.Code.JOURNAL_UNAVAILABLE, "Gateways that may hold the request are not heard."
+            )
         waiting = pending.waiting
         submits = [event for event in waiting if type(event) is messages.Submit]
         durable = any(self.core.service(event.service).durable for event in submits)
--- a/features/fault_matrix_test.py
+++ b/features/fault_matrix_test.py
@@ -298,6 +298,32 @@
     assert not run.violations and not run.incomplete
 
 
+@pytest.mark.parametrize(
+    ("strikes", "seed"),
+    [
+        (
+            (
+                ("generation:Failed", "long pause and return"),
+                ("action:Count", "long pause and return"),
+            ),
+            444,
+        ),
+        ((("generation:Ended", "long pause and return"), ("action:Count", "cut")), 259),
+    ],
+)
+def test_request_whose_holders_are_all_out_of_reach_is_not_called_unknown(strikes, seed):
+    """Guards against a caller that gives up a request that paused gateways still hold."""
+    run = faults.Run("holder change", strikes, seed)
+    assert not run.violations and not run.incomplete
+
+
+def test_gateway_that_is_cut_off_does_not_run_a_durable_request_again():
+    """Guards against a rerun with one copy that replaces a copy of the journal still held."""
+    strikes = (("reply:Accepted", "cut"), ("action:ReattachStream", "lost disk"))
+    run = faults.Run("cancel", strikes, 477)
+    assert not run.violations and not run.incomplete
+
+
 def test_actions_of_the_gateway_are_messages():
     """Guards against an action type that has no name in the step list."""
     for action in fakes.EXECUTE_BY_ACTION:
