Take a node back whose clock was set back before it started again

Cause: a process numbers its incarnation by the time of day. After a jump back (clock_step) and a restart the number is lower than the one before. Hubs and nodes ignored the new process until the old entry was dropped after 30 s, so that the directory named neither.

Ruled out: a number kept on disk, which most machines do not have, and CLOCK_BOOTTIME, which starts again with the machine. Now a lower number is taken once the entry is gone (1.6 s of silence).

--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -160,7 +160,10 @@
         key = ("nodes", report.name)
         known = self._entry_by_key.get(key)
         if known is not None:
-            if known.report.incarnation > report.incarnation:
+            # A process that starts after its machine's time of day was set back has a lower number
+            # than the one before, which is gone then.
+            is_older = known.report.incarnation > report.incarnation
+            if is_older and known.report.state != NODE_GONE:
                 return
             if known.report == report:
                 known.heard_at = self._now()
--- a/chiveswitch/peers/hub_test.py
+++ b/chiveswitch/peers/hub_test.py
@@ -166,6 +166,24 @@
     assert len(world.changes) == 1
 
 
+def test_a_node_that_starts_after_its_clock_was_set_back_is_taken():
+    # Guards against a ready node that the directory does not name until its old entry is dropped.
+    world = World()
+    world.hub.take_node(node(incarnation=5))
+    world.time = hub.NODE_SILENCE_SECONDS + 0.1
+    world.hub.sweep()
+    world.hub.take_node(node(incarnation=4))
+    assert [entry.report.state for entry in world.changes] == [
+        hub.NODE_READY,
+        hub.NODE_GONE,
+        hub.NODE_READY,
+    ]
+    # Silence counts from the new process's reports.
+    world.time += hub.NODE_SILENCE_SECONDS - 0.1
+    world.hub.sweep()
+    assert len(world.changes) == 3
+
+
 def test_an_older_incarnation_or_run_report_changes_nothing():
     world = World()
     world.hub.take_node(node(incarnation=5))
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -135,8 +135,10 @@
         for report in reports:
             entry = self._entry_by_name.get(report.name)
             if entry is not None and entry.report.incarnation > report.incarnation:
-                continue
-            if entry is None or entry.report.incarnation < report.incarnation:
+                # See `Hub.take_node`: numbers fall when a machine's time of day is set back.
+                if entry.state_by_hub.get(hub_address) != hub.NODE_GONE:
+                    continue
+            if entry is None or entry.report.incarnation != report.incarnation:
                 entry = self._entry_by_name[report.name] = NodeEntry(report)
             if entry.state_by_hub.get(hub_address) != report.state:
                 self._log.line(
