--- a/features/soak.py
+++ b/features/soak.py
@@ -1,15 +1,17 @@
 """Randomized soak: real nodes as processes, faults from outside, promises judged from outside.
 
 Run as `python -m features.soak FOLDER SEED [SEED ...]`. Callers and stand-in workers run in this
-process; each worker is reached through a proxy that delays, resets, silences or cuts its
-connections one way. Nodes are killed, paused, stopped and restarted by signals, in series that
-overlap. The judge reads only what callers and workers saw and shares no code with the product.
+process. Each worker is reached through a proxy, and each node by its callers, that delays, resets,
+silences or cuts connections one way. Nodes are killed, paused, stopped and restarted by signals, in
+series that overlap; their disks are lost or end in a torn write, and their time of day jumps. The
+judge reads only what callers and workers saw and shares no code with the product.
 """
 
 import asyncio
 import contextlib
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import time
@@ -27,18 +29,24 @@
 # Time from an acknowledgement until it holds everywhere, as the users' sheets state it.
 APPLY_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
+# Time that a node has to catch up before the next one may be lost; the sheets state 4 s.
+CATCH_UP_SECONDS = 4.0
+# Largest jump of the time of day, in seconds.
+CLOCK_JUMP_SECONDS = 30
+# Largest length of a torn write, in bytes.
+TORN_BYTES = 2000
 # What a caller's clock may differ from a worker's in this one process, and a machine under load.
 SLACK_SECONDS = 0.5
 
 
 class Proxy:
-    """Passes connections on to a worker and harms them on demand.
+    """Passes connections on to a worker or a node and harms them on demand.
 
     Attributes:
-        address: Address that the worker announces.
+        address: Address that is used instead of the target's own.
         delay: Seconds added to each piece of bytes.
         silent: Whether nothing passes in either direction.
-        one_way: Whether nothing passes from the worker to the node.
+        one_way: Whether nothing passes from the target to the one that connects.
     """
 
     def __init__(self, address: str, target: str):
@@ -159,6 +167,7 @@
         self._cluster = cluster
         self._fleet = fleet
         self._proxy_by_worker = {}
+        self._proxy_by_node = {}
         self._run_times = {}
         self._numbers = iter(range(1_000_000))
         self._version = 10
@@ -186,8 +195,8 @@
         stop.set()
         await asyncio.gather(*load)
         self.record.judge(self._fleet.workers, self._run_times)
-        for worker in self._fleet.workers:
-            await self._proxy_by_worker[worker].stop()
+        for proxy in (*self._proxy_by_worker.values(), *self._proxy_by_node.values()):
+            await proxy.stop()
 
     async def _interpose(self):
         for worker in self._fleet.workers:
@@ -198,6 +207,11 @@
             worker.runs = TimedList(times)
             # Copies are named by the address that the nodes know.
             self._fleet.rename(worker, proxy.address)
+        for node in range(DISKS + OTHERS):
+            target = self._cluster.address(node, "front")
+            proxy = Proxy(f"127.0.4.1:{processes.free_port()}", target)
+            await proxy.start()
+            self._proxy_by_node[node] = proxy
         await asyncio.sleep(1.5)
 
     async def _recover(self):
@@ -229,7 +243,7 @@
 
     async def _call(self, node, request_id):
         try:
-            answer = await node_test.caller(self._cluster, node, request_id)
+            answer = await node_test.call_at(self._proxy_by_node[node].address, request_id)
         except (OSError, TimeoutError):
             answer = platform_standins.Answer()
         self.record.calls.append((request_id, answer))
@@ -243,7 +257,7 @@
 
     async def _stream(self, node, request_id):
         fields = platform_standins.stream_headers(request_id)
-        address = self._cluster.address(node, "front")
+        address = self._proxy_by_node[node].address
         try:
             answer = await platform_standins.call(address, "POST", "/s/x", fields)
         except (OSError, TimeoutError):
@@ -295,8 +309,7 @@
         self._busy_nodes.add(number)
         try:
             yield number
-            # The node has to catch up before the next one may be lost.
-            await asyncio.sleep(2.5)
+            await asyncio.sleep(CATCH_UP_SECONDS)
         finally:
             self._busy_nodes.discard(number)
 
@@ -310,6 +323,35 @@
             await asyncio.sleep(self._rng.uniform(0.0, 1.5))
             self._cluster.start(number)
 
+    async def lose_disk(self):
+        """Kills a node and starts it again with an empty disk."""
+        async with self._node() as number:
+            if number is None or number >= DISKS:
+                return
+            self._cluster.signal(number, signal.SIGKILL)
+            self._cluster.wait(number)
+            shutil.rmtree(self._cluster.data_folder(number))
+            self._cluster.start(number)
+
+    async def tear_disk(self):
+        """Kills a node and leaves part of a write that was not synced at the end of its log."""
+        async with self._node() as number:
+            if number is None or number >= DISKS:
+                return
+            self._cluster.signal(number, signal.SIGKILL)
+            self._cluster.wait(number)
+            last = max((self._cluster.data_folder(number) / "log").iterdir())
+            torn = self._rng.randbytes(self._rng.randrange(1, TORN_BYTES))
+            last.write_bytes(last.read_bytes() + torn)
+            self._cluster.start(number)
+
+    async def shift_clock(self):
+        """Has the time of day of a node jump, and for good."""
+        number = self._rng.randrange(DISKS + OTHERS)
+        seconds = self._rng.randrange(-CLOCK_JUMP_SECONDS, CLOCK_JUMP_SECONDS + 1)
+        path = self._cluster.boot_file(number)
+        path.with_name(f"{path.name}.clock").write_text(str(seconds))
+
     async def pause(self):
         """Pauses a node."""
         async with self._node() as number:
@@ -332,7 +374,13 @@
 
     async def harm_worker(self):
         """Delays, resets, silences or cuts the connections of a worker one way."""
-        proxy = self._proxy_by_worker[self._rng.choice(self._fleet.workers)]
+        await self._harm(self._proxy_by_worker[self._rng.choice(self._fleet.workers)])
+
+    async def harm_callers(self):
+        """Does the same to the connections of a node's callers."""
+        await self._harm(self._proxy_by_node[self._rng.randrange(DISKS + OTHERS)])
+
+    async def _harm(self, proxy):
         how = self._rng.choice(("delay", "reset", "silent", "one_way"))
         seconds = self._rng.uniform(0.3, 2.0)
         if how == "reset":
@@ -383,12 +431,16 @@
 
 
 FAULT_BY_NAME = {
+    "harm_callers": Soak.harm_callers,
     "harm_worker": Soak.harm_worker,
     "kill": Soak.kill,
     "leave": Soak.leave,
+    "lose_disk": Soak.lose_disk,
     "pause": Soak.pause,
+    "shift_clock": Soak.shift_clock,
     "spoil_worker": Soak.spoil_worker,
     "stop": Soak.stop_node,
+    "tear_disk": Soak.tear_disk,
 }
 
 
@@ -413,7 +465,8 @@
         if record.broken:
             print("\n".join(soak.schedule + record.broken), flush=True)
 
-    node_test.run(folder, scenario, DISKS, OTHERS)
+    modules = str(pathlib.Path(__file__).parent / "shifted_clock")
+    node_test.run(folder, scenario, DISKS, OTHERS, {"PYTHONPATH": modules})
     return found
 
 
