--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -228,6 +228,66 @@
     run(scenario, tmp_path)
 
 
+def test_a_request_on_a_connection_that_was_dropped_while_idle(tmp_path):
+    # Guards against "not run" after a reset that does not prove it, against a second send of an
+    # unrepeatable request, and against a repeatable one that is given up.
+    async def scenario(path):
+        worker = await path.add("w0", "plain", "a")
+        assert (await call(path, "r0")).status == 200
+        worker.behaviour = "drop_connection"
+        assert (await call(path, "u1")).status == 502
+        await path.add("w1", "plain", "a")
+        for number in range(6):
+            safe = await call(path, f"s{number}", "/r/x", "GET", b"")
+            assert safe.status == 200
+        ran = path.ran()
+        assert "u1" in worker.turned_away and "u1" not in ran and len(ran) == len(set(ran))
+
+    run(scenario, tmp_path)
+
+
+def test_calls_are_served_while_a_worker_goes_down_and_up(tmp_path):
+    # Guards against calls that fail with each loss of a flapping worker, and against one that is
+    # never used again.
+    async def scenario(path):
+        worker = await path.add("w0", "plain", "a")
+        await path.add("w1", "plain", "a")
+        number = 0
+        for _ in range(4):
+            await worker.stop()
+            for _ in range(5):
+                number += 1
+                assert (await call(path, f"r{number}", "/r/x", "GET", b"")).status == 200
+            await worker.start()
+            # The pause after which a target that could not be reached is tried again grows.
+            await asyncio.sleep(0.3)
+        before = len(worker.runs)
+        end = clock.now() + 2 * target_table.AVOID_MAX_SECONDS
+        while len(worker.runs) == before:
+            number += 1
+            assert (await call(path, f"r{number}", "/r/x", "GET", b"")).status == 200
+            assert clock.now() < end, "the worker is not used again"
+            await asyncio.sleep(0.05)
+
+    run(scenario, tmp_path)
+
+
+def test_a_worker_that_announces_itself_and_swallows_requests_gets_few(tmp_path):
+    # Guards against trust in what a worker says of its health: it is judged by its answers.
+    async def scenario(path):
+        liar = await path.add("w0", "plain", "a")
+        liar.behaviour = "hang"
+        for number in range(1, 4):
+            await path.add(f"w{number}", "plain", "a")
+        for number in range(30):
+            path.announce(liar, "plain", "a", number + 2)
+            assert (await call(path, f"r{number}", "/r/x", "GET", b"")).status == 200
+        # A quarter of the calls would reach it if it were chosen like the others.
+        assert len(liar.runs) <= 4
+
+    run(scenario, tmp_path)
+
+
 def test_a_worker_at_a_reused_address_does_not_run_the_request(tmp_path):
     async def scenario(path):
         worker = await path.add("w1", "plain", "a")
--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -199,6 +199,13 @@
     responder.abort()
 
 
+@behaviour("drop_connection")
+async def drop_connection(worker, _request, responder, request_id):
+    """Resets the connection without running the request, as after an idle drop."""
+    worker.turned_away.append(request_id)
+    responder.abort()
+
+
 @behaviour("fail")
 async def fail(worker, request, responder, request_id):
     """Runs the request and fails."""
