--- a/features/forwarding_benchmark.py
+++ b/features/forwarding_benchmark.py
@@ -18,6 +18,7 @@
 CONCURRENT = 8
 STREAMS = 40
 EVENTS = 200
+SINGLE_CALLS = 400
 IDLE_SECONDS = 5.0
 
 
@@ -52,12 +53,16 @@
     before = cpu_seconds(cluster)
     seconds = await call_all(cluster, "r")
     per_call = (cpu_seconds(cluster) - before) / CALLS
-    direct = []
-    for _ in range(200):
+    direct, single = [], []
+    for number in range(SINGLE_CALLS):
         started = clock.now()
         await platform_standins.call(fleet.workers[0].address, "POST", "/w/x", {}, b"order")
         direct.append(clock.now() - started)
+        started = clock.now()
+        await node_test.caller(cluster, 0, f"single-{number}")
+        single.append(clock.now() - started)
     direct.sort()
+    single.sort()
     for worker in fleet.workers:
         worker.events, worker.event_seconds = EVENTS, 0.002
     before = cpu_seconds(cluster)
@@ -74,7 +79,9 @@
     print(f"call: {per_call * 1e6:.0f} us of processor time, {CALLS} calls, {CONCURRENT} at once")
     p50, p99 = seconds[CALLS // 2], seconds[CALLS * 99 // 100]
     print(f"call: p50 {p50 * 1e3:.2f} ms, p99 {p99 * 1e3:.2f} ms through the node")
-    print(f"call without the node, one at a time: p50 {direct[100] * 1e3:.2f} ms")
+    for label, each in (("without the node", direct), ("through the node", single)):
+        p50, p99 = each[SINGLE_CALLS // 2], each[SINGLE_CALLS * 99 // 100]
+        print(f"one call at a time {label}: p50 {p50 * 1e3:.2f} ms, p99 {p99 * 1e3:.2f} ms")
     print(f"event: {per_event * 1e6:.0f} us of processor time, {count} events, {STREAMS} streams")
     print(f"memory: {process.memory_info().rss / 1e6:.0f} MB resident")
 
