--- a/chiveswitch/core/journal.py
+++ b/chiveswitch/core/journal.py
@@ -18,6 +18,8 @@
 # allowance for the allocator and for longer keys.
 BYTES_PER_JOURNAL = 2000
 NEEDS_INSTALL = -1
+# Owners of one journal that are remembered; each takeover adds one, and few journals have two.
+MAX_ACCEPTED_EPOCHS = 16
 
 
 class Record:
@@ -362,7 +364,7 @@
     Attributes:
         promised: Lowest epoch that may still change the journal.
         accepted: Epoch under which config, tokens and end were accepted.
-        accepted_epochs: Tuple of all epochs under which this holder has accepted the journal.
+        accepted_epochs: Tuple of the last epochs under which this holder accepted the journal.
         touched: Time of the last message from an owner, in seconds.
         ended_at: Time at which the end was accepted, or None.
         size: Bytes charged.
@@ -554,7 +556,8 @@
         if epoch != journal.accepted or snapshot.config.version > journal.config.version:
             journal.config = snapshot.config
         if epoch != journal.accepted:
-            journal.accepted_epochs += (epoch,)
+            epochs = (*journal.accepted_epochs, epoch)
+            journal.accepted_epochs = epochs[-MAX_ACCEPTED_EPOCHS:]
         journal.promised = journal.accepted = epoch
         journal.header = snapshot.header
         journal.keep_s = snapshot.keep_s
--- a/chiveswitch/core/journal_test.py
+++ b/chiveswitch/core/journal_test.py
@@ -180,6 +180,14 @@
     assert reply == journal.Unknown(KEY, finished_epochs=((1, "a"), (2, "b")))
 
 
+def test_epochs_of_a_journal_are_bounded():
+    """Guards against a journal that grows with every change of its owner."""
+    store = new_store()
+    for counter in range(1, 3 * journal.MAX_ACCEPTED_EPOCHS):
+        store.handle(install(epoch=(counter, "a")), 0.0)
+    assert len(store.by_key[KEY].accepted_epochs) == journal.MAX_ACCEPTED_EPOCHS
+
+
 def test_tombstone_of_a_changed_holder_names_no_epochs():
     """Guards against a running request that is called finished because one holder has left it."""
     store = new_store()
--- a/chiveswitch/core/takeovers.py
+++ b/chiveswitch/core/takeovers.py
@@ -168,6 +168,7 @@
         failure = self._cut_off(now)
         if failure is not None:
             del self._asking_by_key[event.key]
+            actions.append(messages.Note(event.key, failure.message))
             fail_waiting(asking.waiting, failure, actions)
             return
         if event.header is not None:
@@ -193,6 +194,7 @@
         # this gateway's copy of a journal that they may still hold.
         failure = event.failure or self._cut_off(now)
         if failure is not None:
+            actions.append(messages.Note(event.key, failure.message))
             fail_waiting(asking.waiting, failure, actions)
             return
         result = headers.decode(asking.header)
