Submit a request anew although gateways that may hold it are not heard

Cause: since a takeover that finds nothing reports JOURNAL_UNAVAILABLE while many gateways are silent, a caller without any token waited as well. The rule is for readers that would give their answer up, so it now holds for them only.

Ruled out: the tombstones, which play no part in the run.

--- a/chiveswitch/core/takeovers.py
+++ b/chiveswitch/core/takeovers.py
@@ -314,14 +314,17 @@
 
     def _failed(self, key, failure, pending, now, actions):
         self._retry_at_by_key[key] = now + RETRY_S
-        if failure.code is codes.Code.REQUEST_UNKNOWN and self._may_be_out_of_reach(now):
+        waiting = pending.waiting
+        submits = [event for event in waiting if type(event) is messages.Submit]
+        # A caller without any token submits an unknown request anew; one with tokens gives it up.
+        has_readers = len(submits) < len(waiting)
+        unknown = failure.code is codes.Code.REQUEST_UNKNOWN
+        if unknown and has_readers and self._may_be_out_of_reach(now):
             failure = codes.Failure(
                 codes.Code.JOURNAL_UNAVAILABLE, "Gateways that may hold the request are not heard."
             )
-        waiting = pending.waiting
-        submits = [event for event in waiting if type(event) is messages.Submit]
         durable = any(self.core.service(event.service).durable for event in submits)
-        if durable or len(submits) < len(waiting) or not waiting:
+        if durable or has_readers or not waiting:
             # Control may hold the request although no journal was found.
             self._asking_by_key[key] = _Asking(waiting, failure, pending.takeover.counter)
             actions.append(messages.FindRequest(key))
--- a/features/fault_matrix_test.py
+++ b/features/fault_matrix_test.py
@@ -317,6 +317,13 @@
     assert not run.violations and not run.incomplete
 
 
+def test_request_that_only_its_cut_off_owner_holds_is_submitted_anew():
+    """Guards against a caller without any token that waits for holders that are out of reach."""
+    strikes = (("action:SendJournal", "cut"), ("gateway:Tick", "kill"))
+    run = faults.Run("takeover", strikes, 914)
+    assert not run.violations and not run.incomplete
+
+
 def test_gateway_that_is_cut_off_does_not_run_a_durable_request_again():
     """Guards against a rerun with one copy that replaces a copy of the journal still held."""
     strikes = (("reply:Accepted", "cut"), ("action:ReattachStream", "lost disk"))
