Share what streams, copies, hubs and nodes did twice

- Stream.choose and Copies judged the holder of a copy by two texts; both now ask Copies.holder(), and orders of new copies add that it was not lost a moment ago.
- The head of a stream's response was written in two places.
- A hub dropped old entries of its four kinds in four methods, two of which also republished a silent one in the same way.
The kept times are now one table, and copy_report is gone.
- A node told its client and its watcher the members in two loops, in a slightly different form each.
- Two node tests began the same slow stream by themselves; their assertions are unchanged.

--- a/chiveswitch/forwarding/copies.py
+++ b/chiveswitch/forwarding/copies.py
@@ -88,14 +88,16 @@
             forwarder.rng,
         )
 
-    def _usable_holder(self, now):
-        """Returns the present holder if a run could continue there, or None."""
+    def holder(self):
+        """Returns the engine that holds the copy, or None if it is gone or leaves."""
         table = self._forwarder.table
-        holder = table.find(self._run.copy_target_id)
-        if holder is None or holder.avoided_until > now:
-            return None
-        # A holder that leaves gets no new work.
-        return None if table.is_draining(holder.target_id) else holder
+        target_id = self._run.copy_target_id
+        return None if table.is_draining(target_id) else table.find(target_id)
+
+    def _usable_holder(self, now):
+        """Returns the present holder if it was not lost a moment ago, or None."""
+        holder = self.holder()
+        return None if holder is None or holder.avoided_until > now else holder
 
     def is_needed(self, left_s: float, now: float) -> bool:
         """Says whether the copy was lost, or was ordered and will soon be dropped.
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -134,9 +134,8 @@
         forwarder = self.forwarder
         if self.continues:
             self.continues = False
-            holder = forwarder.table.find(self.run.copy_target_id)
-            usable = holder is not None and not forwarder.table.is_draining(holder.target_id)
-            if usable and holder.target_id not in self.excluded:
+            holder = self.copies.holder()
+            if holder is not None and holder.target_id not in self.excluded:
                 return holder, True
         now = clock.now()
         targets = [
@@ -232,7 +231,7 @@
                     if count:
                         if got_events:
                             intervals.observe((now - heard_at) / count)
-                        if not got_events:
+                        else:
                             got_events = True
                             self.run.reading = 0
                         target.heard(now)
@@ -298,12 +297,17 @@
         asyncio.get_running_loop().call_soon(channel.wake)
         return opened is not None
 
-    def deliver(self, channel, data, count):
-        """Writes events to the caller, after the head of the first engine's response."""
+    def begun_responder(self, channel):
+        """Returns the caller's responder, which has the head of the first engine's response."""
         responder = self.admitted.responder
         if not responder.begun:
             headers = self.forwarder.dialect.response_headers(channel.response)
             responder.begin(channel.response.status, headers, channel.response.reason)
+        return responder
+
+    def deliver(self, channel, data, count):
+        """Writes events to the caller."""
+        responder = self.begun_responder(channel)
         now = clock.now()
         if self.first_event_s is None:
             self.first_event_s = now - self.admitted.request.received_at
@@ -318,11 +322,7 @@
         """Ends the response after the engine has ended the stream."""
         if not self.buffer.is_between_events:
             return "ended in the middle of an event"
-        responder = self.admitted.responder
-        if not responder.begun:
-            headers = self.forwarder.dialect.response_headers(channel.response)
-            responder.begin(channel.response.status, headers, channel.response.reason)
-        responder.finish()
+        self.begun_responder(channel).finish()
         self.forwarder.pool.release(channel)
         if self.copies.ordered_at is not None:
             self.forwarder.spawn(self.copies.release(target))
--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -24,12 +24,9 @@
 NODE_SILENCE_SECONDS = 1.6
 # Missed announcements after which a target counts as overdue.
 OVERDUE_BEATS = 2.5
-# Seconds after which the entry of a target, a node or a run that ended is no longer published.
-TARGET_KEPT_SECONDS = 60.0
-NODE_KEPT_SECONDS = 30.0
-RUN_KEPT_SECONDS = 30.0
-# Seconds for which a loss is published: those who learn of it later would avoid a healthy target.
-LOSS_KEPT_SECONDS = 0.6
+# Seconds after its last report for which an entry is published. Who learns of a loss later would
+# avoid a healthy target.
+KEPT_SECONDS_BY_KIND = {"targets": 60.0, "nodes": 30.0, "runs": 30.0, "losses": 0.6}
 # Shortest time in seconds between two answers to one node, by number of nodes: reports of one
 # interval share an answer, so that a hub's work for each report falls with the number of nodes.
 BATCH_SECONDS_PER_NODE = 0.002
@@ -183,7 +180,7 @@
         """Takes that a gateway has lost a target; reports of one moment count once."""
         key = ("losses", report.target_id)
         known = self._entry_by_key.get(key)
-        if known is None or self._now() - known.heard_at > LOSS_KEPT_SECONDS / 2:
+        if known is None or self._now() - known.heard_at > KEPT_SECONDS_BY_KIND["losses"] / 2:
             self._put(key, "losses", report)
 
     def _put(self, key, kind, report):
@@ -214,39 +211,26 @@
         now = self._now()
         for key, entry in list(self._entry_by_key.items()):
             silence = now - entry.heard_at
-            SWEEP_BY_KIND[entry.kind](self, key, entry, silence)
+            if silence > KEPT_SECONDS_BY_KIND[entry.kind]:
+                del self._entry_by_key[key]
+                continue
+            changed = self._after_silence(entry, silence)
+            if changed is None:
+                continue
+            self._put(key, entry.kind, changed)
+            self._entry_by_key[key].heard_at = entry.heard_at
 
-    def _sweep_target(self, key, entry, silence):
+    def _after_silence(self, entry, silence):
+        """Returns the changed report of a target or node that has fallen silent, or None."""
         report = entry.report
-        if silence > TARGET_KEPT_SECONDS:
-            del self._entry_by_key[key]
-            return
-        late = silence > OVERDUE_BEATS * self._heartbeat_s
-        if late and not report.overdue and report.state != target_table.GONE:
-            heard_at = entry.heard_at
-            changed = copy_report(report)
-            changed.overdue = True
-            self._put(key, "targets", changed)
-            self._entry_by_key[key].heard_at = heard_at
-
-    def _sweep_node(self, key, entry, silence):
-        report = entry.report
-        if silence > NODE_KEPT_SECONDS:
-            del self._entry_by_key[key]
-            return
-        if silence > NODE_SILENCE_SECONDS and report.state != NODE_GONE:
-            heard_at = entry.heard_at
-            changed = hub_thrift.NodeReport(**{**vars(report), "state": NODE_GONE})
-            self._put(key, "nodes", changed)
-            self._entry_by_key[key].heard_at = heard_at
-
-    def _sweep_loss(self, key, _entry, silence):
-        if silence > LOSS_KEPT_SECONDS:
-            del self._entry_by_key[key]
-
-    def _sweep_run(self, key, _entry, silence):
-        if silence > RUN_KEPT_SECONDS:
-            del self._entry_by_key[key]
+        if entry.kind == "targets":
+            late = silence > OVERDUE_BEATS * self._heartbeat_s
+            if late and not report.overdue and report.state != target_table.GONE:
+                return hub_thrift.TargetReport(**{**vars(report), "overdue": True})
+        elif entry.kind == "nodes":
+            if silence > NODE_SILENCE_SECONDS and report.state != NODE_GONE:
+                return hub_thrift.NodeReport(**{**vars(report), "state": NODE_GONE})
+        return None
 
     async def run(self):
         """Sweeps until it is cancelled."""
@@ -329,14 +313,6 @@
         return answer
 
 
-SWEEP_BY_KIND = {
-    "targets": Hub._sweep_target,
-    "nodes": Hub._sweep_node,
-    "runs": Hub._sweep_run,
-    "losses": Hub._sweep_loss,
-}
-
-
 def as_report(record) -> target_table.Report:
     """Returns the table's record of a TargetReport."""
     return target_table.Report(
@@ -350,8 +326,3 @@
         sequence=record.sequence,
         overdue=record.overdue,
     )
-
-
-def copy_report(record):
-    """Returns a copy of a TargetReport."""
-    return hub_thrift.TargetReport(**vars(record))
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -407,19 +407,19 @@
             self.forwarder.runs.sweep(now)
             self.forwarder.pool.sweep()
             self._update_state()
-            self.watcher.learn_members(self._members())
-            addresses = self.watcher.members.addresses
-            if addresses:
-                self.client.learn(addresses)
+            self._learn_members()
+
+    def _learn_members(self):
+        members = self._members()
+        self.watcher.learn_members(members)
+        if members.addresses:
+            self.client.learn(members.addresses)
 
     async def _keep_membership(self):
         if self.control is None:
             await asyncio.get_running_loop().create_future()
         while True:
-            members = self._members()
-            if members.addresses:
-                self.client.learn(members.addresses)
-                self.watcher.learn_members(members)
+            self._learn_members()
             asked = await self.client.join(
                 self.control.node.node_id,
                 self.settings.peer_address,
--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -362,14 +362,20 @@
     run(tmp_path, scenario, disks=4, others=0)
 
 
+async def begin_slow_stream(address, fleet):
+    """Sends a stream of slow events to a node and returns its task once a worker runs it."""
+    for worker in fleet.workers:
+        worker.event_seconds = 0.1
+    fields = platform_standins.stream_headers("s1")
+    task = asyncio.ensure_future(platform_standins.call(address, "POST", "/s/x", fields))
+    await platform_standins.until(lambda: any(w.runs for w in fleet.workers))
+    return task
+
+
 def test_a_stop_signal_finishes_requests_and_takes_the_node_out(tmp_path):
     async def scenario(cluster, fleet):
-        for worker in fleet.workers:
-            worker.event_seconds = 0.1
-        fields = platform_standins.stream_headers("s1")
         address = cluster.address(3, "front")
-        task = asyncio.ensure_future(platform_standins.call(address, "POST", "/s/x", fields))
-        await platform_standins.until(lambda: any(w.runs for w in fleet.workers))
+        task = await begin_slow_stream(address, fleet)
         cluster.signal(3, signal.SIGTERM)
         await asyncio.sleep(0.3)
         assert not await is_ready(cluster, 3)
@@ -514,12 +520,7 @@
     # Guards against nodes that still count as ready seconds after the stop signal because the
     # others, which they tell, stop as well.
     async def scenario(cluster, fleet):
-        for worker in fleet.workers:
-            worker.event_seconds = 0.1
-        fields = platform_standins.stream_headers("s1")
-        address = cluster.address(3, "front")
-        task = asyncio.ensure_future(platform_standins.call(address, "POST", "/s/x", fields))
-        await platform_standins.until(lambda: any(w.runs for w in fleet.workers))
+        task = await begin_slow_stream(cluster.address(3, "front"), fleet)
         for number in (2, 3):
             cluster.signal(number, signal.SIGTERM)
         await asyncio.sleep(1.0)
