Give each service its own retry budget and let copies overdraw it

Change: one budget for each service, shared among the gateways known as ready, with room for at least one retry; a continuation from a copy, or after a copy that was refused, may overdraw it down to one burst.

Ruled out: a fleet-wide count at the hubs (a retry would have to wait for it).

--- a/chiveswitch/core/node_settings.py
+++ b/chiveswitch/core/node_settings.py
@@ -1,14 +1,7 @@
 """Settings of a node, which forwards plain HTTP, and checks that find all errors at once."""
 
-from chiveswitch.core import retry
 from chiveswitch.core import settings as settings_module
 
-# Share of a service's accepted retries that gateways use. The rest is a margin, because a gateway
-# counts only its own requests.
-RETRY_SHARE = 0.5
-# Number of gateways among which the fixed part of the accepted retries is divided.
-EXPECTED_GATEWAYS = 10
-
 
 class NodeSettings:
     """Settings of a node at its start. Addresses are `ip:port`.
@@ -32,7 +25,7 @@
         stop_grace_s: Seconds between the stop signal and the kill signal.
         address_ttl_s: Seconds for which callers may cache a response of the directory.
         operator_secret: Secret from which the operator's signing key is derived.
-        retry: `retry.RetrySettings` of the retry budget.
+        retry: `retry.ServiceRetryLimits` that all gateways together keep to.
     """
 
     __slots__ = (
@@ -62,27 +55,6 @@
             setattr(self, name, fields[name])
 
 
-def retry_settings(ratio: float, slack: float, window_s: float) -> retry.RetrySettings:
-    """Returns the settings of one gateway's share of the retries that a service accepts.
-
-    Args:
-        ratio: Accepted retries as a share of the requests.
-        slack: Number of retries accepted in addition in each window, for all gateways together.
-        window_s: Length of the window in seconds.
-    """
-    share = ratio * RETRY_SHARE
-    fixed = slack * RETRY_SHARE / EXPECTED_GATEWAYS
-    # One client account may spend the whole budget of its gateway, because it may cause most of the
-    # gateway's traffic.
-    return retry.RetrySettings(
-        retries_per_request=share,
-        base_refill_per_s=fixed / window_s,
-        burst=fixed,
-        account_base_refill_per_s=fixed / window_s,
-        account_burst=fixed,
-    )
-
-
 def find_errors(settings: NodeSettings) -> list:
     """Returns all errors of the settings, as a list of `codes.Failure`."""
     errors = []
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -95,7 +95,7 @@
         run_table: `placement.RunTable`.
         pool: `pool.ChannelPool`.
         detector: `detector.AdaptiveDetector` with the silence limits of each engine.
-        budget: Retry budget of this gateway.
+        retry_budgets: `retry.ServiceRetryBudgets` of this gateway.
         bundle: The `routing.RouteBundle` in force, or None before the first one.
         log: `decision_log.DecisionLog`.
         metrics: `metrics.Metrics`.
@@ -114,7 +114,7 @@
         "run_table",
         "pool",
         "detector",
-        "budget",
+        "retry_budgets",
         "bundle",
         "log",
         "metrics",
@@ -144,7 +144,7 @@
         self.run_table = placement.RunTable()
         self.pool = pool.ChannelPool()
         self.detector = detector.AdaptiveDetector()
-        self.budget = retry.RetryBudget(settings.retry, clock.now())
+        self.retry_budgets = retry.ServiceRetryBudgets(settings.retry)
         self.bundle = None
         self.log = log
         self.metrics = metrics
@@ -228,7 +228,8 @@
                 request, caller, lambda: self.target_table.ready_targets(name)
             )
         self.metrics.count(f"requests_{route.kind}")
-        self.budget.record_admission(admitted.account or "", clock.now())
+        now = clock.now()
+        self.retry_budgets.of_service(name, now).record_admission(admitted.account or "", now)
         await HANDLER_BY_KIND[route.kind](self, admitted)
         self.metrics.observe(f"request_{route.kind}", clock.now() - request.received_at)
 
@@ -238,9 +239,16 @@
         names = list(route.weight_by_service)
         return self.rng.choices(names, list(route.weight_by_service.values()))[0]
 
-    def try_spend_retry(self, admitted: AdmittedRequest) -> bool:
-        """Spends one retry of the budget; returns False if the budget is used up."""
-        permitted = self.budget.spend_retry(admitted.account or "", clock.now()).is_ok()
+    def try_spend_retry(self, admitted: AdmittedRequest, may_overdraw: bool = False) -> bool:
+        """Spends one retry of the service's budget; returns False if it is used up.
+
+        Args:
+            admitted: The request.
+            may_overdraw: Whether the retry is permitted even then.
+        """
+        now = clock.now()
+        budget = self.retry_budgets.of_service(admitted.service.name, now)
+        permitted = budget.spend_retry(admitted.account or "", now, may_overdraw).is_ok()
         if not permitted:
             self.metrics.count("retries_denied")
         return permitted
--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from chiveswitch.core import clock, decision_log, metrics, node_settings, target_table
+from chiveswitch.core import clock, decision_log, metrics, retry, target_table
 from chiveswitch.forwarding import calls, forwarder, http_server, streams
 from chiveswitch.peers import hub
 from chiveswitch.platform import documents, headers
@@ -21,7 +21,7 @@
     name = "g1"
     availability_zone = "a"
     stop_grace_s = 8.0
-    retry = node_settings.retry_settings(0.8, 150, 10)
+    retry = retry.ServiceRetryLimits(0.8, 150, 10)
 
 
 class GatewayFixture:
@@ -558,7 +558,7 @@
         for number in range(60):
             await call(fixture, f"r{number}", "/r/x", "GET", b"")
         repeats = len(fixture.executed_request_ids()) - 60
-        settings = Settings.retry
+        settings = Settings.retry.share(retry.ASSUMED_GATEWAYS)
         assert repeats <= settings.burst + 60 * settings.retries_per_request + 2
 
     run(scenario, tmp_path)
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -488,7 +488,8 @@
         may_continue = admitted.route.resumable or reason == "rejected"
         if not may_continue or run_count >= admitted.route.max_runs:
             break
-        if not from_copy and not forwarder.try_spend_retry(admitted):
+        # Continuing from a copy costs little, and the caller's only other attempt would cost more.
+        if not forwarder.try_spend_retry(admitted, from_copy or stream.resumes_from_copy):
             reason = f"{reason}; the retry budget is spent"
             break
     if admitted.responder.has_begun:
--- a/chiveswitch/platform/boot.py
+++ b/chiveswitch/platform/boot.py
@@ -6,7 +6,7 @@
 
 import expression
 
-from chiveswitch.core import codes, node_settings
+from chiveswitch.core import codes, node_settings, retry
 
 FILE_VARIABLE = "CHIVESWITCH_BOOT"
 SECRET_VARIABLE = "CHIVESWITCH_OPERATOR_SECRET"
@@ -80,7 +80,7 @@
             float(bounds.get("ttl_max_s", DEFAULT_TTL_SECONDS)),
         ),
         operator_secret=environment.get(SECRET_VARIABLE, ""),
-        retry=node_settings.retry_settings(
+        retry=retry.ServiceRetryLimits(
             bounds.get("retry-budget-ratio", DEFAULT_RETRY_RATIO),
             bounds.get("budget-slack", DEFAULT_RETRY_SLACK),
             bounds.get("budget-window-s", DEFAULT_WINDOW_SECONDS),
--- a/chiveswitch/platform/boot_test.py
+++ b/chiveswitch/platform/boot_test.py
@@ -44,7 +44,9 @@
     assert (settings.losses, settings.first_start, settings.heartbeat_s) == (2, True, 1.2)
     assert (settings.metrics_address, settings.metrics_path) == ("10.0.0.1:9105", "/metrics")
     assert settings.directory_address == ""
-    assert settings.retry.retries_per_request == 0.4
+    limits = settings.retry
+    assert (limits.ratio, limits.slack, limits.window_s) == (0.8, 150, 10)
+    assert limits.share(10).retries_per_request == 0.4
 
 
 def test_every_error_is_returned(tmp_path):
