Keep interrupted runs resumable until their copies expire

The runs of killed gateways counted as load for 30 s.

Change: a run that ended before its response was complete is reported as interrupted (a third state on the wire, which older processes read as active until the report expires) and can be continued at any gateway for as long as engines keep copies; when a hub reports a gateway as gone, its runs are interrupted and are no load any more. A caller that leaves is logged as caller_gone.

Ruled out: continuing a run that was delivered, or another request of the session (tests).

--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -53,7 +53,9 @@
             report, as far as the gateway can tell.
         node: Name of the gateway that reports the run.
         sequence: Number that increases with each report of the run.
-        ended: Whether the run has ended.
+        ended: Whether the run is no longer executed by an engine.
+        interrupted: Whether the run ended before its response was complete. Another gateway can
+            continue it until its copy expires.
         changed_at: Time in seconds of the last report.
     """
 
@@ -68,6 +70,7 @@
         "node",
         "sequence",
         "ended",
+        "interrupted",
         "changed_at",
     )
 
@@ -82,6 +85,7 @@
         self.node = node
         self.sequence = 0
         self.ended = False
+        self.interrupted = False
         self.changed_at = now
 
 
@@ -108,6 +112,33 @@
         """Returns the latest run of a session, or None."""
         return self.run_by_id.get(self._id_by_session.get(session, ""))
 
+    def find_resumable(
+        self, session: str, tokens: int, copy_kept_s: float, now: float
+    ) -> Run | None:
+        """Returns the run that a caller's retry can continue from its copy, or None.
+
+        Args:
+            session: Last part of the prompt.
+            tokens: Number of tokens of the prompt and the longest possible response. A run with
+                another number belongs to another request of the session.
+            copy_kept_s: Seconds for which an engine keeps a copy after the end of the run.
+            now: Current time in seconds.
+        """
+        run = self.latest_of_session(session)
+        if run is None or run.tokens != tokens or not run.copy_target_id:
+            return None
+        if run.ended and not (run.interrupted and now - run.changed_at <= copy_kept_s):
+            return None
+        return run
+
+    def interrupt_runs_of(self, node: str, now: float):
+        """Marks the runs of a gateway that is gone as interrupted, so that they are no load."""
+        for run in self.run_by_id.values():
+            if run.node != node or run.ended:
+                continue
+            run.ended = run.interrupted = True
+            run.changed_at = now
+
     def sweep(self, now: float):
         """Drops runs without a report for `RUN_RETENTION_SECONDS`."""
         for run_id, run in list(self.run_by_id.items()):
--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -458,6 +458,30 @@
     run(scenario, tmp_path)
 
 
+def test_a_caller_whose_connection_was_reset_continues_from_the_copy(tmp_path):
+    # Guards against reading the prompt again after a caller has lost its connection, because its
+    # run counts as ended.
+    async def scenario(fixture):
+        engines = await add_engines(fixture)
+        for worker in engines:
+            worker.event_seconds = 0.05
+        host, _, port = fixture.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        fields = {"Host": "svc.example", **platform_standins.stream_headers("r1")}
+        writer.write(platform_standins.encode_request("POST", "/s/x", fields, b"prompt"))
+        await reader.readuntil(b"id: 4\n")
+        writer.transport.abort()
+        await platform_standins.wait_until(
+            lambda: any(worker.aborted_request_ids for worker in engines)
+        )
+        answer = await stream(fixture, "r2", **{"Last-Event-Id": "3"})
+        assert answer.complete and answer.event_ids() == list(range(4, 12))
+        fields = next(f for worker in engines for r, f in worker.runs if r == "r2")
+        assert fields["kv-from"].endswith("/r1")
+
+    assert "gateway: caller_gone" in run(scenario, tmp_path)
+
+
 def test_another_request_of_a_session_does_not_continue_from_its_memory(tmp_path):
     # Guards against a response that mixes two requests of one session. They have the same last part
     # of the prompt and differ in their token counts.
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -56,6 +56,7 @@
         first_event_s: Seconds from the request's arrival to the first event, or None.
         longest_pause_s: Longest pause in seconds between two events so far.
         delivered_at: Time of the last delivery, in seconds of `core.clock`.
+        is_delivered: Whether the caller has the whole response.
         copy_manager: `copies.CopyManager` of the run.
     """
 
@@ -71,6 +72,7 @@
         "first_event_s",
         "longest_pause_s",
         "delivered_at",
+        "is_delivered",
         "copy_manager",
     )
 
@@ -96,6 +98,7 @@
         self.first_event_s = None
         self.longest_pause_s = 0.0
         self.delivered_at = now
+        self.is_delivered = False
         self.copy_manager = copies.CopyManager(forwarder, admitted, self.run, self.publish_run)
 
     def min_prefill_s(self) -> float:
@@ -107,17 +110,16 @@
 
     def adopt_run(self):
         """Continues a run that another gateway began, if the holder of its copy is known."""
-        known_run = self.forwarder.run_table.latest_of_session(self.admitted.caller.session)
-        if known_run is None or known_run.ended or self.admitted.caller.last_event_id is None:
+        caller, engine = self.admitted.caller, self.admitted.service.engine
+        if caller.last_event_id is None or engine is None:
             return
-        # A run with another number of tokens belongs to another request of the session, from whose
-        # memory this one must not continue.
-        if known_run.tokens != self.run.tokens:
-            return
-        holder = self.forwarder.target_table.find(known_run.copy_target_id)
-        if holder is None:
+        known_run = self.forwarder.run_table.find_resumable(
+            caller.session, self.run.tokens, engine.copy_kept_s, clock.now()
+        )
+        if known_run is None or self.forwarder.target_table.find(known_run.copy_target_id) is None:
             return
         known_run.ended = True
+        known_run.interrupted = False
         self.run.run_id = known_run.run_id
         self.run.copy_target_id = known_run.copy_target_id
         self.run.copy_reference = known_run.copy_reference
@@ -366,6 +368,7 @@
         if not self.buffer.is_between_events:
             return "ended in the middle of an event"
         self.begin_response(channel).finish()
+        self.is_delivered = True
         self.forwarder.pool.release(channel)
         if self.copy_manager.requested_copy_made_at is not None:
             self.forwarder.spawn(self.copy_manager.release_copy(target))
@@ -416,8 +419,21 @@
     stream.adopt_run()
     try:
         await _serve(stream)
+    except asyncio.CancelledError:
+        forwarder.metrics.count("callers_gone")
+        forwarder.log.line(
+            "gateway",
+            "caller_gone",
+            request=admitted.caller.request_id,
+            target=stream.run.target_id,
+            copy=stream.run.copy_target_id,
+            events=stream.delivered_count,
+            left=admitted.remaining_s(),
+        )
+        raise
     finally:
         stream.run.ended = True
+        stream.run.interrupted = stream.delivered_count > 0 and not stream.is_delivered
         stream.publish_run()
 
 
--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -16,7 +16,7 @@
 hub_thrift = strict.load("hub.thrift")
 
 NODE_READY, NODE_DRAINING, NODE_GONE = range(3)
-RUN_ACTIVE, RUN_ENDED = range(2)
+RUN_ACTIVE, RUN_ENDED, RUN_INTERRUPTED = range(3)
 
 # Longest time that a hub holds a watch without changes before it answers. The answer also serves as
 # a heartbeat between node and hub.
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -13,7 +13,7 @@
   6: required string peer_address, 7: required i32 state }
 
 // Names the target that holds the memory of a run. sequence orders one node's reports of a run.
-// state: 0 active, 1 ended.
+// state: 0 active, 1 ended, 2 interrupted before the response was complete.
 struct RunReport { 1: required string run_id, 2: required string session, 3: required string target_id,
   4: required string copy_target_id, 5: required i64 tokens, 6: required i32 state,
   7: required string node, 8: required i64 sequence, 9: required string copy_reference }
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -59,6 +59,12 @@
 MAX_LEADER_SILENCE_SECONDS = 2.0
 
 
+def _run_state(run):
+    if run.interrupted:
+        return hub.RUN_INTERRUPTED
+    return hub.RUN_ENDED if run.ended else hub.RUN_ACTIVE
+
+
 class ApiListener:
     """An address and the adapter's handler that answers the requests to it.
 
@@ -404,7 +410,7 @@
             target_id=run.target_id,
             copy_target_id=run.copy_target_id,
             tokens=run.tokens,
-            state=hub.RUN_ENDED if run.ended else hub.RUN_ACTIVE,
+            state=_run_state(run),
             node=run.node,
             sequence=run.sequence,
             copy_reference=run.copy_reference,
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -157,6 +157,8 @@
                     "node", "node_changed", name=report.name, state=report.state, hub=hub_address
                 )
             entry.state_by_hub[hub_address] = report.state
+            if report.state == hub.NODE_GONE and report.name != self._settings.name:
+                self._run_table.interrupt_runs_of(report.name, clock.now())
 
     def apply_run_reports(self, reports):
         """Copies newer reports of runs on other gateways into the run table."""
@@ -174,7 +176,8 @@
             run.copy_target_id = report.copy_target_id
             run.copy_reference = report.copy_reference
             run.sequence = report.sequence
-            run.ended = report.state == hub.RUN_ENDED
+            run.ended = report.state != hub.RUN_ACTIVE
+            run.interrupted = report.state == hub.RUN_INTERRUPTED
             self._run_table.put(run)
 
     def apply_loss_reports(self, reports):
