Check a target whose connection broke before it counts as lost

A stream that reached its deadline, or an answer with an unexpected status, was reported as a loss of the engine as well.

Change: after a broken connection other targets are preferred for 0.3 s while one connection attempt shows whether the target still listens; only a target that does not is reported as lost. How an attempt ended is an enumeration instead of a text. A connection that is not established after 60 ms is attempted once more, because a lost SYN is repeated only after a second.

Ruled out: ignoring resets (a crashed engine resets as well, and its other streams should move at once).

--- a/chiveswitch/core/target_table.py
+++ b/chiveswitch/core/target_table.py
@@ -12,6 +12,8 @@
 AVOID_SECONDS = 1.0
 # Longest time for which repeated failures keep a target avoided.
 AVOID_MAX_SECONDS = 4.0
+# A target whose connection broke is avoided for this long, unless a check ends before that.
+SUSPECT_SECONDS = 0.3
 # A zone counts as lost for a service if at least this share of its targets there, and at least two
 # of them, are lost within this window.
 ZONE_WINDOW_SECONDS = 0.8
@@ -127,13 +129,21 @@
         self._failures_in_a_row = 0
         self.avoided_until = 0.0
 
+    def is_lost(self, now: float) -> bool:
+        """Returns whether the target is avoided because of a loss, not only of a suspicion."""
+        return self.avoided_until > now and self._failures_in_a_row > 0
+
+    def suspect(self, now: float):
+        """Avoids the target until it has been checked, because a connection to it broke."""
+        self.avoided_until = max(self.avoided_until, now + SUSPECT_SECONDS)
+
     def record_unreachable(self, now: float):
         """Avoids the target for a while because it could not be reached or stopped responding.
 
         Each further failure in a row makes the time longer, up to `AVOID_MAX_SECONDS`.
         """
         # Several requests may detect the same loss; it counts once.
-        if self.avoided_until > now:
+        if self.is_lost(now):
             return
         self._failures_in_a_row += 1
         self.avoided_until = now + min(AVOID_SECONDS * self._failures_in_a_row, AVOID_MAX_SECONDS)
@@ -280,9 +290,9 @@
     def record_loss(self, target: Target, now: float):
         """Avoids a target that failed during a request or could not be reached; calls `on_lost`.
 
-        A target that is already avoided is not reported again.
+        A target that already counts as lost is not reported again.
         """
-        if target.avoided_until <= now:
+        if not target.is_lost(now):
             self.on_lost(target.target_id)
         self._avoid_after_loss(target, now)
 
@@ -290,10 +300,10 @@
         """Avoids a target whose loss another gateway has reported.
 
         Returns:
-            Whether the target is in the table and was not already avoided.
+            Whether the target is in the table and did not already count as lost.
         """
         target = self.target_by_id.get(target_id)
-        if target is None or target.avoided_until > now:
+        if target is None or target.is_lost(now):
             return False
         self._avoid_after_loss(target, now)
         return True
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -162,7 +162,7 @@
         channel.abort()
         target.record_outcome(True, now - started)
         if not channel.response.status:
-            forwarder.target_table.record_loss(target, now)
+            forwarder.check_target(target)
         return SendOutcome(None, False, reason)
     forwarder.pool.release(channel)
     response_info = forwarder.process_response(target, response)
--- a/chiveswitch/forwarding/channel.py
+++ b/chiveswitch/forwarding/channel.py
@@ -9,6 +9,8 @@
 
 # Buffered bytes of a response above which reading from the target is paused.
 HIGH_WATER_BYTES = 256 * 1024
+# Time in seconds after which a connection that is not established is attempted once more.
+SECOND_CONNECT_SECONDS = 0.06
 # Largest number of responses to other requests that are skipped before the expected one.
 MAX_STRAY_RESPONSES = 4
 
@@ -263,17 +265,60 @@
         self._transport.abort()
 
 
-async def connect(address: str, target_id: str, timeout_s: float) -> Channel | None:
-    """Opens a channel; returns None if no connection is established within `timeout_s` seconds."""
+async def _open(address, target_id) -> Channel:
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(timeout_s):
-            transport, channel = await loop.create_connection(
-                lambda: Channel(address, target_id), host, int(port)
-            )
-    except (OSError, TimeoutError, ValueError):
-        return None
+    transport, channel = await loop.create_connection(
+        lambda: Channel(address, target_id), host, int(port)
+    )
     sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return channel
+
+
+def _discard(attempt):
+    """Cancels an attempt to open a channel, or closes the channel that it has opened."""
+    if not attempt.done():
+        attempt.cancel()
+    elif not attempt.cancelled() and attempt.exception() is None:
+        attempt.result().abort()
+
+
+async def connect(address: str, target_id: str, timeout_s: float) -> Channel | None:
+    """Opens a channel; returns None if no connection is established within `timeout_s` seconds.
+
+    A second attempt starts after `SECOND_CONNECT_SECONDS`, because a lost SYN packet is repeated
+    only after a second. A refusal ends both.
+    """
+    loop = asyncio.get_running_loop()
+    until = clock.now() + timeout_s
+    attempts = [loop.create_task(_open(address, target_id))]
+    try:
+        while True:
+            wait_s = max(0.0, until - clock.now())
+            if len(attempts) == 1:
+                wait_s = min(wait_s, SECOND_CONNECT_SECONDS)
+            done, _ = await asyncio.wait(
+                attempts, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if done:
+                attempt = done.pop()
+                attempts.remove(attempt)
+                return attempt.result()
+            if clock.now() >= until:
+                return None
+            if len(attempts) == 1:
+                attempts.append(loop.create_task(_open(address, target_id)))
+    except (OSError, ValueError):
+        return None
+    finally:
+        for attempt in attempts:
+            _discard(attempt)
+
+
+async def can_connect(address: str, timeout_s: float) -> bool:
+    """Returns whether a target accepts a connection within `timeout_s` seconds."""
+    channel = await connect(address, "", timeout_s)
+    if channel is not None:
+        channel.abort()
+    return channel is not None
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 import random
 
 from chiveswitch.core import clock, codes, detector, placement, retry, routing
+from chiveswitch.forwarding import channel as channels
 from chiveswitch.forwarding import exchange, pool
 
 # Time in seconds for which a caller that states no deadline is assumed to wait. The route's timeout
@@ -125,6 +126,7 @@
         "stream_admission_window_s",
         "rng",
         "_tasks",
+        "_checked_ids",
         "_started_at",
     )
 
@@ -155,6 +157,7 @@
         self.stream_admission_window_s = settings.stop_grace_s * STREAM_ADMISSION_SHARE
         self.rng = random.Random()
         self._tasks = set()
+        self._checked_ids = set()
         self._started_at = clock.now()
 
     async def _wait_for_startup_data(self, request, caller, is_available):
@@ -179,6 +182,30 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def check_target(self, target):
+        """Checks whether a target is lost or only one connection to it broke.
+
+        Other targets are preferred until the check has ended. A connection may also break because
+        of the network, this VM or the target's limit of connections.
+        """
+        target.suspect(clock.now())
+        if target.target_id in self._checked_ids:
+            return
+        self._checked_ids.add(target.target_id)
+        self.spawn(self._check_target(target))
+
+    async def _check_target(self, target):
+        try:
+            reachable = await channels.can_connect(target.address, pool.CONNECT_TIMEOUT_SECONDS)
+        finally:
+            self._checked_ids.discard(target.target_id)
+        self.metrics.count("liveness_checks")
+        if reachable:
+            target.record_contact(clock.now())
+        else:
+            self.target_table.record_loss(target, clock.now())
+        self.log.line("gateway", "target_checked", target=target.target_id, lost=int(not reachable))
+
     def limits(self) -> routing.Limits:
         """Returns the limits in force."""
         return routing.DEFAULT_LIMITS if self.bundle is None else self.bundle.limits
--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -458,6 +458,44 @@
     run(scenario, tmp_path)
 
 
+def test_a_target_counts_as_lost_only_if_it_does_not_accept_connections(tmp_path):
+    # Guards against engines and services that all gateways avoid because the network reset some
+    # connections, so that the remaining ones get all the load.
+    async def scenario(fixture):
+        lost_ids = []
+        fixture.table.on_lost = lost_ids.append
+        engines = await add_engines(fixture, 4)
+        await fixture.add("w0", "plain", "a")
+        fixture.workers["w0"].behaviour = "lose_answer"
+        for worker in engines:
+            worker.cut_after = 5
+        assert (await call(fixture, "u1")).status == 502
+        await stream(fixture, "r1")
+        await asyncio.sleep(0.1)
+        now = clock.now()
+        assert lost_ids == []
+        assert all(target.avoided_until <= now for target in fixture.table.target_by_id.values())
+        await fixture.workers["w0"].stop()
+        assert (await call(fixture, "u2")).status == 503
+        assert lost_ids == ["w0"]
+
+    run(scenario, tmp_path)
+
+
+def test_a_stream_at_its_deadline_says_nothing_about_its_engine(tmp_path):
+    # Guards against sound engines that are reported as lost because callers had no time left.
+    async def scenario(fixture):
+        lost_ids = []
+        fixture.table.on_lost = lost_ids.append
+        for worker in await add_engines(fixture):
+            worker.event_seconds = 0.2
+        answer = await stream(fixture, "r1", **{"X-Deadline-Ms": "900"})
+        assert not answer.complete
+        assert lost_ids == []
+
+    run(scenario, tmp_path)
+
+
 def test_a_caller_whose_connection_was_reset_continues_from_the_copy(tmp_path):
     # Guards against reading the prompt again after a caller has lost its connection, because its
     # run counts as ended.
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import enum
 
 from chiveswitch.core import clock, codes, detector, events, placement, routing
 from chiveswitch.forwarding import channel as channels
@@ -41,6 +42,25 @@
 DRAINING_RETRY_AFTER_SECONDS = 0.05
 
 
+class AttemptEnd(enum.Enum):
+    """How the attempt to serve a stream at one engine ended.
+
+    DELIVERED: the caller received the whole response.
+    REJECTED: the engine stated that it did not run the request.
+    SILENT: the engine sent no event in time or no longer accepts connections.
+    DISCONNECTED: the connection to the engine ended.
+    FAULTY: the engine sent something else than the expected events.
+    EXPIRED: the caller's deadline passed.
+    """
+
+    DELIVERED = enum.auto()
+    REJECTED = enum.auto()
+    SILENT = enum.auto()
+    DISCONNECTED = enum.auto()
+    FAULTY = enum.auto()
+    EXPIRED = enum.auto()
+
+
 class ForwardedStream:
     """One caller's stream while it is forwarded.
 
@@ -210,12 +230,11 @@
         )
         return channel
 
-    async def relay_events(self, target, channel) -> str:
+    async def relay_events(self, target, channel) -> tuple[AttemptEnd, str]:
         """Forwards events until the stream ends or this engine is given up.
 
         Returns:
-            `ended` if the caller received the whole response, `rejected` if the target stated that
-            it did not run the request, else the reason why the engine was given up.
+            How the attempt ended, and the reason for the log.
         """
         forwarder, admitted = self.forwarder, self.admitted
         dialect, responder = forwarder.dialect, admitted.responder
@@ -266,16 +285,16 @@
                             self.copy_manager.request_copy(target)
                         )
                 if self.buffer.fault:
-                    return self.buffer.fault
+                    return AttemptEnd.FAULTY, self.buffer.fault
                 if response.complete and accepted:
                     return self.finish_response(target, channel)
                 if channel.failure_reason:
-                    return channel.failure_reason
+                    return AttemptEnd.DISCONNECTED, channel.failure_reason
                 if admitted.remaining_s() <= 0:
-                    return "the deadline has passed"
+                    return AttemptEnd.EXPIRED, "the deadline has passed"
                 if probe is not None and probe.done():
                     if not probe.result():
-                        return "no longer accepts connections"
+                        return AttemptEnd.SILENT, "no longer accepts connections"
                     probe, probe_succeeded = None, True
                     if not got_events:
                         # The engine is alive; it is probed again after another interval.
@@ -285,7 +304,7 @@
                 )
                 silence_s = clock.now() - last_arrival_at
                 if silence_s >= failover_after_s:
-                    return f"silent for {silence_s:.3f} s"
+                    return AttemptEnd.SILENT, f"silent for {silence_s:.3f} s"
                 wait_s = min(failover_after_s - silence_s, admitted.remaining_s())
                 if probe is None and not probe_succeeded:
                     wait_s = min(wait_s, max(0.0, probe_after_s - silence_s))
@@ -328,12 +347,10 @@
     async def probe_engine(self, target, channel) -> bool:
         """Returns whether the engine still accepts connections."""
         self.forwarder.metrics.count("liveness_checks")
-        opened = await channels.connect(target.address, target.target_id, PROBE_TIMEOUT_SECONDS)
-        if opened is not None:
-            opened.abort()
+        reachable = await channels.can_connect(target.address, PROBE_TIMEOUT_SECONDS)
         # Wakes `relay_events`, which waits for the channel.
         asyncio.get_running_loop().call_soon(channel.wake_waiter)
-        return opened is not None
+        return reachable
 
     def begin_response(self, channel):
         """Writes the head of the response to the caller once; returns the caller's responder.
@@ -359,16 +376,17 @@
         self.delivered_count += count
         responder.write(data)
 
-    def finish_response(self, target, channel) -> str:
+    def finish_response(self, target, channel) -> tuple[AttemptEnd, str]:
         """Completes the caller's response after the engine has ended the stream.
 
         Returns:
-            `ended`, or the fault if the engine ended the stream within an event.
+            A result as `relay_events` does; a stream that ends within an event is faulty.
         """
         if not self.buffer.is_between_events:
-            return "ended in the middle of an event"
+            return AttemptEnd.FAULTY, "ended in the middle of an event"
         self.begin_response(channel).finish()
         self.is_delivered = True
+        target.record_outcome(False, clock.now() - self.admitted.request.received_at)
         self.forwarder.pool.release(channel)
         if self.copy_manager.requested_copy_made_at is not None:
             self.forwarder.spawn(self.copy_manager.release_copy(target))
@@ -381,26 +399,29 @@
             first=self.first_event_s or 0.0,
             pause=self.longest_pause_s,
         )
-        return "ended"
+        return AttemptEnd.DELIVERED, ""
 
-    async def handle_other_response(self, target, channel, may_have_run_before) -> str:
+    async def handle_other_response(
+        self, target, channel, may_have_run_before
+    ) -> tuple[AttemptEnd, str]:
         """Processes a response that is not a stream; returns a result as `relay_events` does."""
         forwarder, admitted = self.forwarder, self.admitted
         response = await channel.read_response(clock.now() + PROBE_TIMEOUT_SECONDS)
         if response is None:
-            return channel.failure_reason or "the response was not complete in time"
+            if channel.failure_reason:
+                return AttemptEnd.DISCONNECTED, channel.failure_reason
+            return AttemptEnd.SILENT, "the response was not complete in time"
         forwarder.pool.release(channel)
         response_info = forwarder.process_response(target, response)
         status = response.status
         if response_info.not_run:
             admitted.may_have_run = may_have_run_before
-            return "rejected"
-        if status == 200 or status >= 500 or status in (408, 421, 429):
-            return f"answered {status}"
-        if not admitted.responder.has_begun:
-            forwarder.relay_response(admitted, target, response)
-            return "ended"
-        return f"answered {status}"
+            return AttemptEnd.REJECTED, "rejected"
+        is_failure = status == 200 or status >= 500 or status in (408, 421, 429)
+        if is_failure or admitted.responder.has_begun:
+            return AttemptEnd.FAULTY, f"answered {status}"
+        forwarder.relay_response(admitted, target, response)
+        return AttemptEnd.DELIVERED, ""
 
 
 @forwarding.register_handler(routing.Kind.STREAM)
@@ -465,16 +486,16 @@
             forwarder.metrics.count("connects_failed")
             continue
         try:
-            reason = await stream.relay_events(target, channel)
+            end, reason = await stream.relay_events(target, channel)
         except BaseException:
             channel.abort()
             raise
-        if reason == "ended":
+        if end == AttemptEnd.DELIVERED:
             return
         now = clock.now()
         # The run must be stopped at this engine before it continues at another one.
         channel.abort()
-        if reason == "rejected":
+        if end == AttemptEnd.REJECTED:
             if not from_copy:
                 rejection_count += 1
                 stream.excluded_ids.add(target.target_id)
@@ -482,7 +503,12 @@
                 break
         else:
             run_count += 1
-            forwarder.target_table.record_loss(target, now)
+            if end == AttemptEnd.SILENT:
+                forwarder.target_table.record_loss(target, now)
+            elif end == AttemptEnd.DISCONNECTED:
+                forwarder.check_target(target)
+            if end != AttemptEnd.EXPIRED:
+                target.record_outcome(True, 0.0)
             stream.excluded_ids = {target.target_id}
             # A copy exists only after the first event.
             stream.resumes_from_copy = (
@@ -501,8 +527,8 @@
             events=stream.delivered_count,
             left=admitted.remaining_s(),
         )
-        may_continue = admitted.route.resumable or reason == "rejected"
-        if not may_continue or run_count >= admitted.route.max_runs:
+        may_continue = admitted.route.resumable or end == AttemptEnd.REJECTED
+        if not may_continue or end == AttemptEnd.EXPIRED or run_count >= admitted.route.max_runs:
             break
         # Continuing from a copy costs little, and the caller's only other attempt would cost more.
         if not forwarder.try_spend_retry(admitted, from_copy or stream.resumes_from_copy):
