Choose engines by expected wait, with lost ones behind a penalty

Cause: lost or overdue engines were no candidates at all, so that a few wrong losses left one engine for all runs; and of four engines drawn by the session the best was taken however long its queue was. The queue of prompts was estimated for each run by itself, so that six prompts of 10,000 tokens seemed read after 2.5 s, and a report of a new copy made other gateways count the prompt as unread once more.

Change: an engine that was lost a moment ago or is overdue is a candidate with a penalty; further engines are drawn while the best one is worse than the best of all by over 2 s; the queue of an engine is drained one prompt after the other, from the time at which the engine got each run.

Ruled out: the least loaded of all engines (all gateways choose the same one; the test of that stays).

--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -4,7 +4,6 @@
 the generation can continue if the first engine is lost.
 """
 
-import heapq
 import random
 
 import xxhash
@@ -27,11 +26,22 @@
 FAILURE_PENALTY = 2.0
 # Largest random addition to a score, so that gateways with the same reports choose differently.
 MAX_SCORE_JITTER = 0.1
-# Number of engines that are drawn for a session and among which the best one is chosen. Gateways
-# choose at the same time with the same reports, above all after the loss of a zone. If each of them
-# chose the best of all engines, that one would get all runs.
+# Number of engines that are drawn at a time for a session and among which the best one is chosen.
+# Gateways choose at the same time with the same reports, above all after the loss of a zone. If
+# each of them chose the best of all engines, that one would get all runs.
 CANDIDATE_ENGINES = 4
-# Score penalty in seconds of each place in the session's order of engines. The first engine is thus
+# Further engines are drawn while the best one so far scores worse by more than this than the best
+# of all.
+MAX_EXCESS_SECONDS = 2.0
+# Score penalty in seconds of an engine that was lost a moment ago. An attempt to connect to it
+# shows whether it is back.
+AVOIDED_PENALTY_SECONDS = 1.5
+# Score penalty in seconds of an engine whose announcement is overdue.
+OVERDUE_PENALTY_SECONDS = 1.0
+# Share of an engine's prefill rate that is assumed while it also generates.
+PREFILL_DRAIN_SHARE = 0.75
+# Score penalty in seconds of each place in the session's order of engines, up to the number that is
+# drawn at a time. The first engine is thus
 # preferred, so that a caller that reconnects after the loss of its gateway finds its prompt cached
 # there, unless that engine was busy.
 RANK_PENALTY_SECONDS = 0.1
@@ -49,8 +59,9 @@
         copy_target_id: Id of the engine that holds the copy, or an empty string.
         copy_reference: Reference by which engines identify the copy, or an empty string.
         tokens: Number of tokens of the prompt and the longest possible response.
-        unprocessed_tokens: Number of prompt tokens that the engine had not processed at the last
-            report, as far as the gateway can tell.
+        unprocessed_tokens: Number of prompt tokens that the engine had to process when it got the
+            run, 0 after the first event.
+        queued_at: Time in seconds at which the engine got the run.
         node: Name of the gateway that reports the run.
         sequence: Number that increases with each report of the run.
         ended: Whether the run is no longer executed by an engine.
@@ -67,6 +78,7 @@
         "copy_reference",
         "tokens",
         "unprocessed_tokens",
+        "queued_at",
         "node",
         "sequence",
         "ended",
@@ -82,6 +94,7 @@
         self.copy_reference = ""
         self.tokens = tokens
         self.unprocessed_tokens = unprocessed
+        self.queued_at = now
         self.node = node
         self.sequence = 0
         self.ended = False
@@ -155,22 +168,40 @@
         include those of copies, which occupy memory but are not running.
         """
         load_by_id = {}
+        prompts_by_id = {}
         for run in self.run_by_id.values():
             if run.ended:
                 continue
-            running, held, unprocessed = load_by_id.get(run.target_id, (0, 0, 0))
-            # Other gateways do not report the progress of prefill, so half the usual rate is
-            # assumed since the last report.
-            remaining = max(
-                0.0, run.unprocessed_tokens - (now - run.changed_at) * PREFILL_TOKENS_PER_SECOND / 2
-            )
-            load_by_id[run.target_id] = (running + 1, held + run.tokens, unprocessed + remaining)
+            running, held, _ = load_by_id.get(run.target_id, (0, 0, 0))
+            load_by_id[run.target_id] = (running + 1, held + run.tokens, 0)
+            if run.unprocessed_tokens:
+                prompts = prompts_by_id.setdefault(run.target_id, [])
+                prompts.append((run.queued_at, run.unprocessed_tokens))
             if run.copy_target_id:
-                running, held, unprocessed = load_by_id.get(run.copy_target_id, (0, 0, 0))
-                load_by_id[run.copy_target_id] = (running, held + run.tokens, unprocessed)
+                running, held, _ = load_by_id.get(run.copy_target_id, (0, 0, 0))
+                load_by_id[run.copy_target_id] = (running, held + run.tokens, 0)
+        for target_id, prompts in prompts_by_id.items():
+            running, held, _ = load_by_id[target_id]
+            load_by_id[target_id] = (running, held, _queued_tokens(prompts, now))
         return load_by_id
 
 
+def _queued_tokens(prompts, now):
+    """Returns the prompt tokens that an engine has yet to process.
+
+    Args:
+        prompts: Pairs of the time in seconds at which the engine got a prompt, and its tokens. The
+            engine processes them one after the other.
+        now: Current time in seconds.
+    """
+    rate = PREFILL_TOKENS_PER_SECOND * PREFILL_DRAIN_SHARE
+    queued, updated_at = 0.0, 0.0
+    for queued_at, tokens in sorted(prompts):
+        queued = max(0.0, queued - (queued_at - updated_at) * rate) + tokens
+        updated_at = queued_at
+    return max(0.0, queued - max(0.0, now - updated_at) * rate)
+
+
 def _preferred_targets(targets, now):
     """Returns the healthy targets if there are any, else the overdue ones, else all."""
     healthy = [each for each in targets if each.avoided_until <= now and not each.report.overdue]
@@ -205,19 +236,38 @@
     return best
 
 
-def rank_by_session(targets, session: str, count: int) -> list[target_table.Target]:
-    """Returns the first targets in the rendezvous order of a session.
+def rank_by_session(targets, session: str) -> list[target_table.Target]:
+    """Returns the targets in the rendezvous order of a session.
 
     The order is the same at all gateways, and the loss of a target moves only its own sessions.
     """
     prefix = session.encode() + b"\0"
-    return heapq.nlargest(
-        count,
+    return sorted(
         targets,
         key=lambda target: xxhash.xxh3_64_intdigest(prefix + target.target_id.encode()),
+        reverse=True,
     )
 
 
+def _engine_score(target, load_by_id, engine, tokens, now):
+    """Returns the expected seconds until an engine has processed the prompt, with penalties."""
+    running, held, unprocessed = load_by_id.get(target.target_id, (0, 0, 0))
+    if now - target.load_at < target_table.LOAD_MAX_AGE_SECONDS:
+        running = max(running, sum(target.load))
+    score = unprocessed / PREFILL_TOKENS_PER_SECOND + RUNNING_REQUEST_SECONDS * running
+    # A run that does not fit waits until memory is free, or preempts another run.
+    excess_tokens = held + tokens - engine.memory_tokens
+    if excess_tokens > 0:
+        score += MEMORY_WAIT_SECONDS + excess_tokens / PREFILL_TOKENS_PER_SECOND
+    score += max(0, running + 1 - engine.slots)
+    score += FAILURE_PENALTY * target.failure_rate
+    if target.avoided_until > now:
+        score += AVOIDED_PENALTY_SECONDS
+    if target.report.overdue:
+        score += OVERDUE_PENALTY_SECONDS
+    return score
+
+
 def choose_engine(
     targets: list[target_table.Target],
     load_by_id: dict,
@@ -226,7 +276,7 @@
     session: str,
     now: float,
 ) -> target_table.Target | None:
-    """Returns the engine that is expected to process a prompt soonest, or None.
+    """Returns the engine that is expected to process a prompt soon, or None.
 
     Args:
         targets: Engines that may be chosen.
@@ -236,19 +286,16 @@
         session: Last part of the prompt, or the request id.
         now: Current time in seconds.
     """
+    scores = [_engine_score(each, load_by_id, engine, tokens, now) for each in targets]
+    score_by_id = {each.target_id: score for each, score in zip(targets, scores, strict=True)}
+    accepted_score = min(scores, default=0.0) + MAX_EXCESS_SECONDS
     best, best_score = None, 0.0
-    candidates = rank_by_session(_preferred_targets(targets, now), session, CANDIDATE_ENGINES)
-    for rank, target in enumerate(candidates):
-        running, held, unprocessed = load_by_id.get(target.target_id, (0, 0, 0))
-        if now - target.load_at < target_table.LOAD_MAX_AGE_SECONDS:
-            running = max(running, sum(target.load))
-        score = unprocessed / PREFILL_TOKENS_PER_SECOND + RUNNING_REQUEST_SECONDS * running
-        # A run that does not fit waits until memory is free, or preempts another run.
-        excess_tokens = held + tokens - engine.memory_tokens
-        if excess_tokens > 0:
-            score += MEMORY_WAIT_SECONDS + excess_tokens / PREFILL_TOKENS_PER_SECOND
-        score += max(0, running + 1 - engine.slots)
-        score += FAILURE_PENALTY * target.failure_rate + RANK_PENALTY_SECONDS * rank
+    for rank, target in enumerate(rank_by_session(targets, session)):
+        is_next_group = rank > 0 and rank % CANDIDATE_ENGINES == 0
+        if is_next_group and best_score <= accepted_score:
+            break
+        score = score_by_id[target.target_id]
+        score += RANK_PENALTY_SECONDS * min(rank, CANDIDATE_ENGINES)
         if best is None or score < best_score:
             best, best_score = target, score
     return best
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -213,6 +213,7 @@
         self.run.target_id = target.target_id
         self.run.run_id = admitted.caller.request_id
         self.run.unprocessed_tokens = 0 if from_copy else admitted.caller.prompt_tokens
+        self.run.queued_at = clock.now()
         self.publish_run()
         admitted.send_count += 1
         self.buffer.restart()
@@ -222,7 +223,8 @@
             from_copy=int(from_copy),
             copy=self.run.copy_target_id,
             after_event=self.buffer.last_id if self.buffer.last_id is not None else -1,
-            tokens=self.run.tokens,
+            prompt=admitted.caller.prompt_tokens,
+            longest=admitted.caller.max_response_tokens,
         )
         channel.send(
             forwarder.dialect.encode_request(admitted.request, admitted.caller, options),
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -178,6 +178,8 @@
             run.sequence = report.sequence
             run.ended = report.state != hub.RUN_ACTIVE
             run.interrupted = report.state == hub.RUN_INTERRUPTED
+            if known_run is not None and known_run.target_id == run.target_id:
+                run.queued_at = known_run.queued_at
             self._run_table.put(run)
 
     def apply_loss_reports(self, reports):
