Refuse streams that cannot end in time, and bound retries in a window

The retry budget let a gateway of 24 use three retries at once although all gateways together had used about 20 of 170 in the window.

Change: a gateway learns the best recent pace of each service's streams (prefill, interval of events, length, without outliers) and refuses a stream at once if it cannot end before its deadline even at that pace. The prompt of a caller that returns counts as cached. The budget of a service counts retries and requests in the sliding window of the service's own limit, of which all gateways together use at most seven tenths.

--- a/chiveswitch/core/retry.py
+++ b/chiveswitch/core/retry.py
@@ -1,6 +1,8 @@
 """Retry budget: each admitted request earns a fraction of a retry, so that the loss of an
 availability zone cannot cause a retry storm."""
 
+import collections
+
 import expression
 
 from chiveswitch.core import codes
@@ -8,13 +10,15 @@
 # When this number of accounts is reached, the accounts with a full bucket are removed.
 MAX_ACCOUNTS = 1024
 # Share of a service's accepted retries that gateways use. The rest is a margin, because a gateway
-# counts only its own requests.
-USED_SHARE = 0.5
+# counts only its own requests, whose number varies between windows.
+USED_SHARE = 0.7
 # Number of gateways that is assumed until a gateway knows the others.
 ASSUMED_GATEWAYS = 10
-# Retries that a gateway can always save up. With a smaller bucket, a gateway in a large group could
-# never retry.
-MIN_BURST = 1.0
+# Retries that a gateway may use in each window, whatever its share is. Otherwise a gateway in a
+# large group could never retry.
+MIN_WINDOW_RETRIES = 1.0
+# Number of parts of a window in which events are counted together.
+WINDOW_PARTS = 20
 
 
 class RetrySettings:
@@ -103,17 +107,9 @@
             settings.burst, self._gateway_bucket.tokens + settings.retries_per_request
         )
 
-    def spend_retry(
-        self, client_account: str, now: float, may_overdraw: bool = False
-    ) -> expression.Result:
+    def spend_retry(self, client_account: str, now: float) -> expression.Result:
         """Takes one token from each of the two buckets for a retry.
 
-        Args:
-            client_account: Name of the account.
-            now: Seconds on the process's clock.
-            may_overdraw: Whether the retry is permitted without tokens, as the continuation of
-                work that would otherwise be lost. Later retries have to wait until it is earned.
-
         Returns:
             Ok, or RETRY_BUDGET_SPENT if a bucket has less than one token. No token is taken then.
         """
@@ -121,13 +117,10 @@
         gateway = self._gateway_bucket.refill(
             self.settings.base_refill_per_s, self.settings.burst, now
         )
-        if not may_overdraw and (gateway < 1 or account.tokens < 1):
+        if gateway < 1 or account.tokens < 1:
             return codes.failure(codes.Code.RETRY_BUDGET_SPENT, "The retry budget is spent.")
-        for bucket, burst in (
-            (self._gateway_bucket, self.settings.burst),
-            (account, self.settings.account_burst),
-        ):
-            bucket.tokens = max(-burst, bucket.tokens - 1)
+        self._gateway_bucket.tokens -= 1
+        account.tokens -= 1
         return expression.Ok(None)
 
     def _refill_account_bucket(self, client_account, now):
@@ -150,12 +143,42 @@
                 del self._bucket_by_account[account]
 
 
+class WindowCount:
+    """Number of events within the last seconds; the oldest part of a window is counted whole."""
+
+    __slots__ = ("_part_s", "_parts", "_total")
+
+    def __init__(self, window_s: float):
+        self._part_s = window_s / WINDOW_PARTS
+        self._parts = collections.deque()
+        self._total = 0
+
+    def add(self, now: float):
+        """Counts one event."""
+        self._drop_old(now)
+        part = int(now / self._part_s)
+        if not self._parts or self._parts[-1][0] != part:
+            self._parts.append([part, 0])
+        self._parts[-1][1] += 1
+        self._total += 1
+
+    def total(self, now: float) -> int:
+        """Returns the number of events in the window that ends now."""
+        self._drop_old(now)
+        return self._total
+
+    def _drop_old(self, now):
+        oldest = int(now / self._part_s) - WINDOW_PARTS
+        while self._parts and self._parts[0][0] < oldest:
+            self._total -= self._parts.popleft()[1]
+
+
 class ServiceRetryLimits:
-    """Retries that each service accepts from all gateways together.
+    """Retries that each service accepts in any window, from all gateways together.
 
     Attributes:
         ratio: Accepted retries as a share of the requests.
-        slack: Number of retries accepted in addition in each window.
+        slack: Number of retries accepted in addition.
         window_s: Length of the window in seconds.
     """
 
@@ -166,22 +189,40 @@
         self.slack = slack
         self.window_s = window_s
 
-    def share(self, gateway_count: int) -> RetrySettings:
-        """Returns the settings of one gateway's budget for one service.
+
+class ServiceRetryBudget:
+    """One gateway's retries of the requests to one service."""
+
+    __slots__ = ("_limits", "_requests", "_retries")
+
+    def __init__(self, limits: ServiceRetryLimits):
+        self._limits = limits
+        self._requests = WindowCount(limits.window_s)
+        self._retries = WindowCount(limits.window_s)
+
+    def record_admission(self, now: float):
+        """Counts an admitted request. Must not be called for retries."""
+        self._requests.add(now)
+
+    def spend_retry(self, gateway_count: int, now: float, may_exceed: bool = False) -> bool:
+        """Counts a retry if the budget permits it.
 
         Args:
             gateway_count: Number of gateways that share the limits.
+            now: Seconds on the process's clock.
+            may_exceed: Whether the retry is permitted and counted in any case, as the continuation
+                of work that would otherwise be lost.
+
+        Returns:
+            Whether the retry is permitted.
         """
-        fixed = self.slack * USED_SHARE / max(1, gateway_count)
-        # One client account may spend the whole budget of its gateway, because it may cause most of
-        # the gateway's traffic.
-        return RetrySettings(
-            retries_per_request=self.ratio * USED_SHARE,
-            base_refill_per_s=fixed / self.window_s,
-            burst=max(MIN_BURST, fixed),
-            account_base_refill_per_s=fixed / self.window_s,
-            account_burst=max(MIN_BURST, fixed),
-        )
+        limits = self._limits
+        share = limits.slack / max(1, gateway_count) + limits.ratio * self._requests.total(now)
+        permitted = max(MIN_WINDOW_RETRIES, USED_SHARE * share)
+        if not may_exceed and self._retries.total(now) + 1 > permitted:
+            return False
+        self._retries.add(now)
+        return True
 
 
 class ServiceRetryBudgets:
@@ -189,31 +230,29 @@
 
     Attributes:
         limits: The `ServiceRetryLimits`.
-        budget_by_service: `RetryBudget` by the name of the service.
+        gateway_count: Number of gateways that share the limits.
+        budget_by_service: `ServiceRetryBudget` by the name of the service.
     """
 
-    __slots__ = ("limits", "budget_by_service", "_gateway_count")
+    __slots__ = ("limits", "gateway_count", "budget_by_service")
 
     def __init__(self, limits: ServiceRetryLimits):
         self.limits = limits
+        self.gateway_count = ASSUMED_GATEWAYS
         self.budget_by_service = {}
-        self._gateway_count = ASSUMED_GATEWAYS
-
-    def set_gateway_count(self, count: int):
-        """Divides the limits among another number of gateways."""
-        if count == self._gateway_count:
-            return
-        self._gateway_count = count
-        settings = self.limits.share(count)
-        for budget in self.budget_by_service.values():
-            budget.settings = settings
-
-    def of_service(self, name: str, now: float) -> RetryBudget:
-        """Returns the budget of a service, which is created on first use."""
-        budget = self.budget_by_service.get(name)
+
+    def record_admission(self, service: str, now: float):
+        """Counts an admitted request to a service."""
+        self._budget(service).record_admission(now)
+
+    def spend_retry(self, service: str, now: float, may_exceed: bool = False) -> bool:
+        """Counts a retry and returns True, or returns False if the service's budget is spent."""
+        return self._budget(service).spend_retry(self.gateway_count, now, may_exceed)
+
+    def _budget(self, service):
+        budget = self.budget_by_service.get(service)
         if budget is None:
-            settings = self.limits.share(self._gateway_count)
-            budget = self.budget_by_service[name] = RetryBudget(settings, now)
+            budget = self.budget_by_service[service] = ServiceRetryBudget(self.limits)
         return budget
 
     def retain_services(self, names):
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -4,7 +4,7 @@
 import asyncio
 import random
 
-from chiveswitch.core import clock, codes, detector, placement, retry, routing
+from chiveswitch.core import clock, codes, detector, pace, placement, retry, routing
 from chiveswitch.forwarding import channel as channels
 from chiveswitch.forwarding import exchange, pool
 
@@ -125,6 +125,7 @@
         "draining_since",
         "stream_admission_window_s",
         "rng",
+        "_pace_by_service",
         "_tasks",
         "_checked_ids",
         "_started_at",
@@ -156,6 +157,7 @@
         self.draining_since = None
         self.stream_admission_window_s = settings.stop_grace_s * STREAM_ADMISSION_SHARE
         self.rng = random.Random()
+        self._pace_by_service = {}
         self._tasks = set()
         self._checked_ids = set()
         self._started_at = clock.now()
@@ -182,6 +184,18 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def set_bundle(self, bundle: routing.RouteBundle):
+        """Puts a bundle in force and drops what was learned of services that it does not name."""
+        self.bundle = bundle
+        self.retry_budgets.retain_services(bundle.service_by_name)
+        for name in list(self._pace_by_service):
+            if name not in bundle.service_by_name:
+                del self._pace_by_service[name]
+
+    def pace_of(self, service: str) -> pace.StreamPace:
+        """Returns the pace of a service's streams."""
+        return self._pace_by_service.setdefault(service, pace.StreamPace())
+
     def check_target(self, target):
         """Checks whether a target is lost or only one connection to it broke.
 
@@ -255,8 +269,7 @@
                 request, caller, lambda: self.target_table.ready_targets(name)
             )
         self.metrics.count(f"requests_{route.kind}")
-        now = clock.now()
-        self.retry_budgets.of_service(name, now).record_admission(admitted.account or "", now)
+        self.retry_budgets.record_admission(name, clock.now())
         await HANDLER_BY_KIND[route.kind](self, admitted)
         self.metrics.observe(f"request_{route.kind}", clock.now() - request.received_at)
 
@@ -266,16 +279,15 @@
         names = list(route.weight_by_service)
         return self.rng.choices(names, list(route.weight_by_service.values()))[0]
 
-    def try_spend_retry(self, admitted: AdmittedRequest, may_overdraw: bool = False) -> bool:
+    def try_spend_retry(self, admitted: AdmittedRequest, may_exceed: bool = False) -> bool:
         """Spends one retry of the service's budget; returns False if it is used up.
 
         Args:
             admitted: The request.
-            may_overdraw: Whether the retry is permitted even then.
+            may_exceed: Whether the retry is permitted even then.
         """
-        now = clock.now()
-        budget = self.retry_budgets.of_service(admitted.service.name, now)
-        permitted = budget.spend_retry(admitted.account or "", now, may_overdraw).is_ok()
+        service = admitted.service.name
+        permitted = self.retry_budgets.spend_retry(service, clock.now(), may_exceed)
         if not permitted:
             self.metrics.count("retries_denied")
         return permitted
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -29,9 +29,6 @@
 FAILOVER_FACTOR_WITHOUT_COPY = 3.0
 # Gap objective in seconds of routes that state none.
 DEFAULT_GAP_OBJECTIVE_SECONDS = 1.0
-# Share of the time in which an idle engine reads the whole prompt. With less time until the
-# deadline, a stream without a copy cannot be served.
-MIN_PREFILL_SHARE = 0.7
 # Rejections by engines after which a stream is refused. Each rejection costs a round trip. Each
 # round in which all engines were tried counts as one, too.
 MAX_REJECTIONS = 4
@@ -121,12 +118,40 @@
         self.is_delivered = False
         self.copy_manager = copies.CopyManager(forwarder, admitted, self.run, self.publish_run)
 
-    def min_prefill_s(self) -> float:
-        """Returns the least time in seconds in which an engine can read the prompt."""
-        if self.admitted.service.engine is None:
+    def least_remaining_s(self) -> float:
+        """Returns the least seconds in which an engine without the run's memory can finish."""
+        admitted, engine = self.admitted, self.admitted.service.engine
+        caller = admitted.caller
+        if engine is None:
             return 0.0
-        tokens = self.admitted.caller.prompt_tokens
-        return MIN_PREFILL_SHARE * tokens / placement.PREFILL_TOKENS_PER_SECOND
+        pace = self.forwarder.pace_of(admitted.service.name)
+        # The prompt of a caller that returns may still be cached.
+        least_s = 0.0
+        if caller.last_event_id is None:
+            least_s = pace.least_prefill_s(caller.prompt_tokens)
+        if engine.event_tokens:
+            max_events = caller.max_response_tokens / engine.event_tokens
+            sent_events = 0 if self.buffer.last_id is None else self.buffer.last_id + 1
+            least_s += pace.least_events_s(max_events, sent_events)
+        return least_s
+
+    def observe_pace(self):
+        """Adds the delivered stream to the service's pace, if one engine served all of it."""
+        admitted, engine = self.admitted, self.admitted.service.engine
+        caller = admitted.caller
+        is_whole = admitted.send_count == 1 and caller.last_event_id is None
+        if engine is None or not engine.event_tokens or not is_whole or self.delivered_count < 2:
+            return
+        max_events = caller.max_response_tokens / engine.event_tokens
+        if not max_events:
+            return
+        first_event_at = admitted.request.received_at + self.first_event_s
+        self.forwarder.pace_of(admitted.service.name).observe(
+            caller.prompt_tokens,
+            self.first_event_s,
+            (self.delivered_at - first_event_at) / (self.delivered_count - 1),
+            self.delivered_count / max_events,
+        )
 
     def adopt_run(self):
         """Continues a run that another gateway began, if the holder of its copy is known."""
@@ -389,6 +414,7 @@
         self.begin_response(channel).finish()
         self.is_delivered = True
         target.record_outcome(False, clock.now() - self.admitted.request.received_at)
+        self.observe_pace()
         self.forwarder.pool.release(channel)
         if self.copy_manager.requested_copy_made_at is not None:
             self.forwarder.spawn(self.copy_manager.release_copy(target))
@@ -467,8 +493,9 @@
     too_late = False
     reason = "no target"
     while admitted.remaining_s() > 0:
-        if not stream.resumes_from_copy and admitted.remaining_s() < stream.min_prefill_s():
-            reason = f"the prompt cannot be read in {admitted.remaining_s():.3f} s"
+        least_s = 0.0 if stream.resumes_from_copy else stream.least_remaining_s()
+        if admitted.remaining_s() < least_s:
+            reason = f"needs {least_s:.3f} s of {admitted.remaining_s():.3f} s"
             too_late = True
             break
         target, from_copy = stream.select_target()
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -380,8 +380,7 @@
             self.view.apply_bundle(entry.version, entry.content, entry.signature, "control")
 
     def _on_bundle_changed(self, bundle):
-        self.forwarder.bundle = bundle
-        self.forwarder.retry_budgets.retain_services(bundle.service_by_name)
+        self.forwarder.set_bundle(bundle)
         self._update_state()
         self.hub.schedule_watch_answers()
 
@@ -436,7 +435,7 @@
             self.table.sweep(self.view.live_hubs(), now)
             self.forwarder.run_table.sweep(now)
             self.forwarder.pool.close_stale_channels()
-            self.forwarder.retry_budgets.set_gateway_count(len(self.view.ready_nodes()))
+            self.forwarder.retry_budgets.gateway_count = max(1, len(self.view.ready_nodes()))
             self._update_state()
             self._update_members()
 
