Do not claim a request whose owner is alive and was not asked for it

Cause: after all gateways were killed, gateways that had just started did not know each other.

Change: when control names another owner, the gateway asks the leader whether that incarnation's lease has ended (new message CONTROL_OWNER; a leader younger than a lease answers that it may live).

Ruled out: a claim that control refuses while the owner's lease lives (a request whose owner lives but could not open it would stay closed until the owner ends); a field in the answer of a lookup (strict decoding makes both builds refuse each other's answers).

--- a/chiveswitch/core/gateway_messages.py
+++ b/chiveswitch/core/gateway_messages.py
@@ -146,9 +146,11 @@
         header: Encoded request header as it was committed, or None if control has no such request.
         generation: Highest generation number that control has recorded.
         failure: A `codes.Failure` if control could not be reached, else None.
+        live_owner: Holder id of the gateway that owns the request, if that may be alive and is
+            another one, else an empty string.
     """
 
-    __slots__ = ("key", "header", "generation", "failure")
+    __slots__ = ("key", "header", "generation", "failure", "live_owner")
 
 
 class GenerationClaimed(Message):
--- a/chiveswitch/core/gateway_test.py
+++ b/chiveswitch/core/gateway_test.py
@@ -65,4 +65,24 @@
     left = messages.FromReader(("field", "other"), generation_messages.ReaderDisconnected(9))
     core.handle(left, 2.1)
     core.handle(messages.FromReader(key, generation_messages.ReaderDisconnected(1)), 2.1)
-    assert core.handle(messages.RequestFound(key, None, 0, None), 2.2) == []
+    assert core.handle(messages.RequestFound(key, None, 0, None, ""), 2.2) == []
+
+
+def test_a_request_whose_live_owner_is_unknown_here_is_not_claimed():
+    # Guards against a durable generation that runs twice after all gateways were killed: gateways
+    # that have just started do not know each other, and each claimed the generation of another.
+    core = new_core(gateway_count=1)
+    key = ("field", "request")
+    header = b"header"
+    core.handle(messages.Attach(1, *key, "", None, 0, True), 0.1)
+    core.handle(messages.Tick(), 2.0)
+    actions = core.handle(messages.RequestFound(key, header, 2, None, "g2.1"), 2.2)
+    assert not [action for action in actions if type(action) is messages.ClaimGeneration]
+    refusals = [action for action in actions if type(action) is messages.ReaderFail]
+    assert [refusal.code for refusal in refusals] == [codes.Code.JOURNAL_UNAVAILABLE]
+    # Without a live owner the request is claimed.
+    core.handle(messages.Attach(2, *key, "", None, 0, True), 5.0)
+    core.handle(messages.Tick(), 7.0)
+    actions = core.handle(messages.RequestFound(key, header, 2, None, ""), 7.2)
+    claims = [action for action in actions if type(action) is messages.ClaimGeneration]
+    assert [claim.expected for claim in claims] == [2]
--- a/chiveswitch/core/leases.py
+++ b/chiveswitch/core/leases.py
@@ -107,6 +107,15 @@
             del self.lease_by_holder[holder]
         return sorted(self.lease_by_holder.values(), key=Lease.holder_id)
 
+    def may_live(self, holder: str, now: float) -> bool:
+        """Returns whether a gateway incarnation may be alive.
+
+        A leader knows all leases only when it has been the leader for the duration of one.
+        """
+        if now < self.leader_since + LEASE_SECONDS:
+            return True
+        return any(lease.holder_id() == holder for lease in self.live_leases(now))
+
     def digest_and_leases(self, now: float) -> tuple:
         """Returns (digest, live leases).
 
--- a/chiveswitch/core/replication.py
+++ b/chiveswitch/core/replication.py
@@ -809,6 +809,7 @@
         done: Whether `TakenOver` or `TakeoverFailed` was returned.
         deadline: Earliest time at which `Tick` has an effect, in seconds.
         highest_counter: Highest epoch counter that any holder has reported as promised.
+        candidates: Holder ids that the takeover asks for a journal.
     """
 
     __slots__ = (
@@ -818,7 +819,7 @@
         "deadline",
         "highest_counter",
         "_epochs",
-        "_candidates",
+        "candidates",
         "_last_received",
         "_replication_factor",
         "_gateways",
@@ -866,7 +867,7 @@
         self.done = False
         self.deadline = 0.0
         self._epochs = epochs
-        self._candidates = candidates
+        self.candidates = candidates
         self._last_received = last_received
         self._replication_factor = replication_factor
         self._gateways = gateways
@@ -939,7 +940,7 @@
             self._finished_epochs.update(reply.finished_epochs)
         elif reply.epoch == self.epoch:
             self._holders_without_journal.add(sender)
-        if not self._answered_candidates.issuperset(self._candidates) or self._check_finished(
+        if not self._answered_candidates.issuperset(self.candidates) or self._check_finished(
             actions
         ):
             return
@@ -969,7 +970,7 @@
         Returns:
             Whether the takeover has failed here.
         """
-        if self.done or not self._answered_candidates.issuperset(self._candidates):
+        if self.done or not self._answered_candidates.issuperset(self.candidates):
             return False
         if self._config_rank[0] not in self._finished_epochs:
             return False
@@ -1071,7 +1072,7 @@
 
     def _send_pending(self, now, actions):
         self._resend_at = now + self._settings.resend_interval_s
-        for holder in self._candidates:
+        for holder in self.candidates:
             if holder not in self._answered_candidates:
                 actions.append(Send(holder, journal.Lookup(self.key)))
         if self._config is None:
--- a/chiveswitch/core/takeovers.py
+++ b/chiveswitch/core/takeovers.py
@@ -46,15 +46,23 @@
         failure: `codes.Failure` of the takeover.
         header: Bytes of the request's header once control has returned them, else None.
         replaced_epoch_counter: Highest epoch counter of the lost journal, or 0.
+        asked_holders: Holder ids that were asked for a journal.
     """
 
-    __slots__ = ("waiting_events", "failure", "header", "replaced_epoch_counter")
+    __slots__ = (
+        "waiting_events",
+        "failure",
+        "header",
+        "replaced_epoch_counter",
+        "asked_holders",
+    )
 
-    def __init__(self, waiting_events, failure, replaced_epoch_counter):
+    def __init__(self, waiting_events, failure, replaced_epoch_counter, asked_holders):
         self.waiting_events = waiting_events
         self.failure = failure
         self.header = None
         self.replaced_epoch_counter = replaced_epoch_counter
+        self.asked_holders = asked_holders
 
 
 class TakeoverManager:
@@ -64,7 +72,14 @@
         core: The `gateway.GatewayCore`.
     """
 
-    __slots__ = ("core", "_rng", "_takeover_by_key", "_control_lookup_by_key", "_retry_at_by_key")
+    __slots__ = (
+        "core",
+        "_rng",
+        "_takeover_by_key",
+        "_control_lookup_by_key",
+        "_retry_at_by_key",
+        "_owner_by_key",
+    )
 
     def __init__(self, core, rng):
         self.core = core
@@ -72,6 +87,8 @@
         self._takeover_by_key = {}
         self._control_lookup_by_key = {}
         self._retry_at_by_key = {}
+        # Owner of a request according to control, which the next lookup asks as well.
+        self._owner_by_key = {}
 
     def has_pending_requests(self) -> bool:
         """Returns whether any takeover or lookup in control is in progress."""
@@ -169,6 +186,7 @@
         for key, retry_at in list(self._retry_at_by_key.items()):
             if now > retry_at + RETRY_ENTRY_KEPT_SECONDS:
                 del self._retry_at_by_key[key]
+                self._owner_by_key.pop(key, None)
 
     def handle_request_found(self, event, now, actions):
         """Handles the reply of control to the lookup of a request without a journal."""
@@ -182,6 +200,9 @@
             fail_waiting_callers(lookup.waiting_events, failure, actions)
             return
         if event.header is not None:
+            if event.live_owner and event.live_owner not in lookup.asked_holders:
+                self._refuse_claim(event, lookup, now, actions)
+                return
             lookup.header = event.header
             actions.append(messages.ClaimGeneration(event.key, event.generation))
             return
@@ -195,6 +216,21 @@
             waiting_events = [each for each in waiting_events if type(each) is not messages.Submit]
         fail_waiting_callers(waiting_events, failure, actions)
 
+    def _refuse_claim(self, event, lookup, now, actions):
+        """Fails the callers of a request whose owner is alive and was not asked for its journal.
+
+        Gateways that have just started do not know each other yet. The next lookup asks the owner.
+        """
+        del self._control_lookup_by_key[event.key]
+        self._owner_by_key[event.key] = event.live_owner
+        self._retry_at_by_key[event.key] = now + RETRY_DELAY_SECONDS
+        failure = codes.Failure(
+            codes.Code.JOURNAL_UNAVAILABLE,
+            f"The request is owned by {event.live_owner}, which was not asked for it.",
+        )
+        actions.append(messages.Note(event.key, failure.message))
+        fail_waiting_callers(lookup.waiting_events, failure, actions)
+
     def handle_generation_claimed(self, event, now, actions):
         """Reruns a durable request under the new generation that control has assigned."""
         lookup = self._control_lookup_by_key.pop(event.key, None)
@@ -257,6 +293,7 @@
         held = self.core.store.journal_by_key.get(key)
         live_ids = {gateway.holder for gateway in live}
         known_holders = () if held is None else held.config.members()
+        known_holders = [*known_holders, self._owner_by_key.get(key)]
         known_holders = [holder for holder in known_holders if holder in live_ids]
         return ranking.choose_lookup_candidates(key, live, known_holders, per_zone)
 
@@ -349,7 +386,10 @@
         if is_durable or has_readers or not waiting_events:
             # No journal was found, but control may hold the request if it is durable.
             self._control_lookup_by_key[key] = _ControlLookup(
-                waiting_events, failure, pending.takeover.highest_counter
+                waiting_events,
+                failure,
+                pending.takeover.highest_counter,
+                frozenset(pending.takeover.candidates),
             )
             actions.append(messages.FindRequest(key))
             return
--- a/chiveswitch/peers/control_client.py
+++ b/chiveswitch/peers/control_client.py
@@ -141,6 +141,21 @@
         )
         return answered.map(lambda pair: pair[1]).map_error(_as_unavailable)
 
+    async def may_live(self, holder: str, deadline: float) -> expression.Result:
+        """Asks whether a gateway incarnation may be alive, confirmed by a majority.
+
+        Args:
+            holder: Id under which the incarnation owns requests.
+            deadline: Time until which to try, in seconds of CLOCK_BOOTTIME.
+
+        Returns:
+            Ok with a bool, or CONTROL_UNAVAILABLE.
+        """
+        payload = strict.encode(rpc.ReadOwner(holder=holder))
+        kind = kinds.Kind.CONTROL_OWNER
+        answered = await self._call_leader(kind, payload, rpc.OwnerAnswer, deadline)
+        return answered.map(lambda pair: pair[1].may_live).map_error(_as_unavailable)
+
     async def fetch_published(self, known_version: int, deadline: float) -> expression.Result:
         """Reads the route bundle in force, confirmed by a majority.
 
--- a/chiveswitch/peers/control_rpc.thrift
+++ b/chiveswitch/peers/control_rpc.thrift
@@ -29,6 +29,12 @@
   6: required string owner, 7: required i64 generation, 8: required bool finished,
   9: required binary status }
 
+// Asks whether a gateway incarnation may be alive: its lease has not ended, or the leader is too new
+// to know of it.
+struct ReadOwner { 1: required string holder }
+struct OwnerAnswer { 1: required i32 code, 2: required string message,
+  3: required string leader_address, 4: required bool may_live }
+
 // Requests the route bundle in force, confirmed by a majority.
 struct ReadPublished { 1: required i64 known_version }
 struct PublishedAnswer { 1: required i32 code, 2: required string message,
--- a/chiveswitch/peers/control_server.py
+++ b/chiveswitch/peers/control_server.py
@@ -124,6 +124,7 @@
                 kinds.Kind.CONTROL_PROPOSE: self._serve_propose,
                 kinds.Kind.CONTROL_READ: self._serve_read,
                 kinds.Kind.CONTROL_PUBLISHED: self._serve_published,
+                kinds.Kind.CONTROL_OWNER: self._serve_owner,
                 kinds.Kind.CONTROL_JOIN: self._serve_join,
                 **(handler_by_kind or {}),
             }
@@ -440,6 +441,24 @@
                 answer.signature = entry.signature
         return expression.Ok(strict.encode(answer))
 
+    async def _serve_owner(self, payload, _trace):
+        decoded = strict.decode(rpc.ReadOwner, payload)
+        if decoded.is_error():
+            return decoded
+        confirmed = await self.confirm_read()
+        answer = rpc.OwnerAnswer(
+            code=int(codes.Code.OK),
+            message="",
+            leader_address=self.leader_address(),
+            may_live=True,
+        )
+        if confirmed.is_error():
+            answer.code = int(confirmed.error.code)
+            answer.message = confirmed.error.message
+        elif self.leases is not None:
+            answer.may_live = self.leases.may_live(decoded.ok.holder, self._now())
+        return expression.Ok(strict.encode(answer))
+
     # Storage of records and snapshots.
 
     async def _write_queued(self):
--- a/chiveswitch/peers/kinds.py
+++ b/chiveswitch/peers/kinds.py
@@ -15,6 +15,7 @@
     CONTROL_READ = 42
     CONTROL_PUBLISHED = 43
     CONTROL_JOIN = 44
+    CONTROL_OWNER = 45
     HUB_WATCH = 50
     HUB_REPORT = 51
     HUB_REPORT_RUNS = 52
--- a/chiveswitch/tools/gateway_control.py
+++ b/chiveswitch/tools/gateway_control.py
@@ -179,7 +179,7 @@
 
     async def _find(self, key):
         found = await self.client.find_request(*key, clock.now() + REQUEST_TIMEOUT_SECONDS)
-        header, generation, failure = None, 0, None
+        header, generation, failure, live_owner = None, 0, None, ""
         if found.is_error():
             # CONTROL_UNAVAILABLE would say that the request did not run, but it may have run.
             failure = codes.Failure(codes.Code.JOURNAL_UNAVAILABLE, found.error.message)
@@ -189,7 +189,18 @@
             )
         elif found.ok.found:
             header, generation = found.ok.body, found.ok.generation
-        self._post([messages.RequestFound(key, header, generation, failure)])
+            if found.ok.owner != self._core.epochs.holder:
+                live_owner, failure = await self._live_owner(found.ok.owner)
+        if failure is not None:
+            header = None
+        self._post([messages.RequestFound(key, header, generation, failure, live_owner)])
+
+    async def _live_owner(self, holder):
+        """Returns (the holder if it may be alive, else an empty string; a failure or None)."""
+        result = await self.client.may_live(holder, clock.now() + REQUEST_TIMEOUT_SECONDS)
+        if result.is_error():
+            return "", codes.Failure(codes.Code.JOURNAL_UNAVAILABLE, result.error.message)
+        return (holder if result.ok else ""), None
 
     async def _claim(self, key, expected):
         account, request_id = key
@@ -299,7 +310,7 @@
 
     def find_request(self, action):
         """Posts that the request was not found."""
-        self._post([messages.RequestFound(action.key, None, 0, None)])
+        self._post([messages.RequestFound(action.key, None, 0, None, "")])
 
     def claim_generation(self, action):
         """Refuses a claim."""
--- a/chiveswitch/tools/gateway_control_test.py
+++ b/chiveswitch/tools/gateway_control_test.py
@@ -30,6 +30,9 @@
     async def find_request(self, account, request_id, _deadline):
         return self.found.pop(0)
 
+    async def may_live(self, _holder, _deadline):
+        return expression.Ok(False)
+
 
 def lookup_result(found=True, body=b"", owner="g.1", generation=1, finished=False):
     return expression.Ok(
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -407,7 +407,13 @@
 
     def find_request(self, sender, key, on_answer):
         entry = self.replicated_state.request_by_key.get(key)
-        found = None if entry is None or entry.finished else (entry.body, entry.generation)
+        found = None
+        if entry is not None and not entry.finished:
+            is_other = entry.owner != sender.core.epochs.holder
+            live_owner = (
+                entry.owner if is_other and self._is_alive(entry.owner, self.world.now) else ""
+            )
+            found = (entry.body, entry.generation, live_owner)
         self.world.send(self, sender, on_answer, expression.Ok(found))
 
     def _assign_orphaned_requests(self):
@@ -614,8 +620,10 @@
                 failure = codes.Failure(codes.Code.JOURNAL_UNAVAILABLE, result.error.message)
             else:
                 found = result.ok
-            header, number = found or (None, 0)
-            self.handle_event(gateway_messages.RequestFound(action.key, header, number, failure))
+            header, number, live_owner = found or (None, 0, "")
+            self.handle_event(
+                gateway_messages.RequestFound(action.key, header, number, failure, live_owner)
+            )
 
         self._call_control(self.world.control.find_request, action.key, on_answer)
 
