Accept only ASCII digits as numbers of the platform and of settings

Cause: str.isdigit() is true for characters such as a superscript two, which int() refuses with an error; a caller's Last-Event-Id, a worker's load and the port of an announcement or setting could so end a handler with an exception.

Change: the checks ask for ASCII digits, or for decimals.

--- a/chiveswitch/core/settings.py
+++ b/chiveswitch/core/settings.py
@@ -12,7 +12,7 @@
         ipaddress.ip_address(host)
     except ValueError:
         return [setting_failure(name, f"{address!r} does not start with an IP address")]
-    if not port.isdigit() or not 0 < int(port) < 65536:
+    if not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
         return [setting_failure(name, f"{address!r} does not end with a port number")]
     return []
 
--- a/chiveswitch/platform/documents.py
+++ b/chiveswitch/platform/documents.py
@@ -168,7 +168,7 @@
             raise FieldError(f"state {word!r} is unknown")
         address = _text(document, "address")
         host, _, port = address.rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
             raise FieldError(f"address {address!r} is not ip:port")
         report = hub.hub_thrift.TargetReport(
             target_id=worker_id,
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -95,7 +95,7 @@
         wait_ms = _parse_number(value_by_header.get("x-deadline-ms"))
         caller.wait_s = None if wait_ms is None else wait_ms / MS_PER_SECOND
         last_event_id = value_by_header.get("last-event-id", "")
-        if last_event_id.isdigit():
+        if last_event_id.isascii() and last_event_id.isdigit():
             caller.last_event_id = int(last_event_id)
         usage = value_by_header.get(TOKEN_USAGE, "").split(",")
         if len(usage) == 2:
@@ -177,7 +177,7 @@
         load = None
         # The header holds the counts of running requests, of waiting requests, and of slots.
         parts = value_by_header.get(INSTANCE_LOAD, "").split(",")
-        if len(parts) == 3 and parts[0].strip().isdigit() and parts[1].strip().isdigit():
+        if len(parts) == 3 and all(part.strip().isdecimal() for part in parts[:2]):
             load = (int(parts[0]), int(parts[1]))
         return exchange.ResponseInfo(not_run, is_misdirected, load)
 
