Bound what targets send beside bodies, and forward large responses as they come

Causes, found by probes with raw sockets: heads, single headers, interim responses, chunk extensions and trailers of a target had no limit, so that the process grew until the caller's deadline; a sound call response above 256 KiB never completed, because reading paused while the whole body was awaited; any byte counted as progress of a stream, so that an engine that trickled parts of an event, or comments, kept its stream until the deadline, while a stream with comments between events was given up as faulty; a response or refusal without an id on a used channel was taken for that of the present request, so that an unrepeatable call could run twice after a late refusal; a caller that stopped reading held its stream past the deadline; trailers of a caller were taken as headers.

Change: at most 64 KiB in a row may be no body, in either direction (callers: the configured head size); trailers are dropped. A response above 256 KiB is forwarded as it arrives, with back-pressure both ways, and the caller's connection is reset if it stays incomplete. Only whole events end a silence; comments are skipped; with a copy, an engine that has been slower than the gap objective for a while is sound; the last permitted run waits longer. Only the first response on a channel may lack the id. Waiting for a caller to read ends at the deadline.

--- a/chiveswitch/core/events.py
+++ b/chiveswitch/core/events.py
@@ -1,6 +1,8 @@
 """Splits a target's event stream into complete events, each returned once and in order of id."""
 
 SEPARATOR = b"\n\n"
+# Most digits of an event id; the time to parse a number grows with the square of its length.
+MAX_ID_DIGITS = 18
 
 
 class EventBuffer:
@@ -48,6 +50,8 @@
         *blocks, self._partial_event = data.split(SEPARATOR)
         complete_events = []
         for block in blocks:
+            if is_comment(block):
+                continue
             event_id = parse_event_id(block)
             if event_id is None:
                 self.fault = "an event has no id"
@@ -62,11 +66,16 @@
         return b"".join(complete_events), len(complete_events)
 
 
+def is_comment(block: bytes) -> bool:
+    """Returns whether a block holds only comments, which engines may send to keep a stream open."""
+    return all(line.startswith(b":") or not line for line in block.split(b"\n"))
+
+
 def parse_event_id(block: bytes) -> int | None:
     """Returns the number in the id line of an event, or None."""
     for line in block.split(b"\n"):
         if not line.startswith(b"id:"):
             continue
         text = line[3:].strip()
-        return int(text) if text.isdigit() else None
+        return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
     return None
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -1,4 +1,8 @@
-"""Forwarding of short calls: a response is read completely before it is sent to the caller."""
+"""Forwarding of short calls: a response is read completely before it is sent to the caller.
+
+Only a response that is too large to be buffered is forwarded as it arrives; after that, the call
+cannot be sent to another target any more.
+"""
 
 import asyncio
 
@@ -73,7 +77,10 @@
         run_count += 1
         response = outcome.response
         if response is not None and (response.status < 500 or not repeatable):
-            forwarder.relay_response(admitted, target, response)
+            if response.complete:
+                forwarder.relay_response(admitted, target, response)
+                return
+            await _relay_large_response(forwarder, admitted, target, channel)
             return
         reason = f"{target.target_id} {outcome.reason}"
         excluded_ids.add(target.target_id)
@@ -83,7 +90,7 @@
             or admitted.remaining_s() < MIN_ATTEMPT_TIMEOUT_SECONDS / 2
             or not forwarder.try_spend_retry(admitted)
         ):
-            if response is not None:
+            if response is not None and response.complete:
                 forwarder.relay_response(admitted, target, response)
                 return
             break
@@ -104,7 +111,8 @@
     """Outcome of sending a call to one target.
 
     Attributes:
-        response: The target's complete response, or None.
+        response: The target's response, or None. It is not complete if its body is too large to be
+            buffered.
         rejected: Whether the target stated that it did not run the request.
         reason: Cause for the log.
     """
@@ -135,7 +143,10 @@
 
 
 async def _send_call(forwarder, admitted, target, channel, attempt_timeout_s) -> SendOutcome:
-    """Sends the call once and waits for the response; always releases or closes the channel."""
+    """Sends the call once and waits for the response.
+
+    Releases or closes the channel unless a part of a large response is returned.
+    """
     started = clock.now()
     dialect = forwarder.dialect
     options = forwarder.build_send_options(admitted, target)
@@ -150,7 +161,7 @@
             dialect.encode_request(admitted.request, admitted.caller, options),
             dialect.request_id_header(admitted.caller),
         )
-        response = await channel.read_response(started + attempt_timeout_s)
+        response = await channel.read_response(started + attempt_timeout_s, accepts_part=True)
     except BaseException:
         channel.abort()
         raise
@@ -164,23 +175,65 @@
         if not channel.response.status:
             forwarder.check_target(target)
         return SendOutcome(None, False, reason)
-    forwarder.pool.release(channel)
+    is_failure = response.status >= 500
+    if response.complete:
+        forwarder.pool.release(channel)
+    elif is_failure:
+        channel.abort()
     response_info = forwarder.process_response(target, response)
-    if response_info.not_run:
+    is_match = channel.matches_request(admitted.caller.request_id)
+    if response_info.not_run and is_match:
         admitted.may_have_run = may_have_run_before
         return SendOutcome(None, True, f"rejected the request with status {response.status}")
-    if not channel.matches_request(admitted.caller.request_id) or response.status in (
-        429,
-        503,
-        408,
-        421,
-    ):
+    if not is_match or response.status in (429, 503, 408, 421):
         # Without the statement that the call did not run, these statuses do not prove it.
         target.record_outcome(True, now - started)
+        channel.abort()
         return SendOutcome(
             None,
             False,
             f"answered {response.status} for another request or without a clear outcome",
         )
-    target.record_outcome(response.status >= 500, now - started)
+    target.record_outcome(is_failure, now - started)
     return SendOutcome(response, False, f"answered {response.status}")
+
+
+async def _relay_large_response(forwarder, admitted, target, channel):
+    """Forwards a response as it arrives; resets the caller's connection if it stays incomplete."""
+    response, responder = channel.response, admitted.responder
+    headers = forwarder.dialect.response_headers(response)
+    length = response.value_by_header.get("content-length")
+    responder.begin(response.status, headers, response.reason, length)
+    reason = ""
+    is_released = False
+    try:
+        while not reason:
+            data = channel.take_body()
+            if data:
+                responder.write(data)
+                if not await responder.wait_until_writable(admitted.remaining_s()):
+                    reason = "the caller did not read the response in time"
+                continue
+            if response.complete:
+                responder.finish()
+                forwarder.pool.release(channel)
+                is_released = True
+                forwarder.log_answered(admitted, target, response.status)
+                return
+            if channel.failure_reason:
+                reason = channel.failure_reason
+            elif not await channel.wait_for_change(admitted.remaining_s()):
+                reason = "the deadline has passed"
+    finally:
+        if not is_released:
+            channel.abort()
+    forwarder.metrics.count("responses_cut")
+    forwarder.log.line(
+        "gateway",
+        "response_cut",
+        request=admitted.caller.request_id,
+        target=target.target_id,
+        reason=reason,
+        left=admitted.remaining_s(),
+    )
+    responder.abort()
--- a/chiveswitch/forwarding/channel.py
+++ b/chiveswitch/forwarding/channel.py
@@ -11,6 +11,9 @@
 HIGH_WATER_BYTES = 256 * 1024
 # Time in seconds after which a connection that is not established is attempted once more.
 SECOND_CONNECT_SECONDS = 0.06
+# Largest number of bytes in a row that are no body: heads of interim and final responses, blank
+# lines, chunk extensions and trailers.
+MAX_FRAMING_BYTES = 64 * 1024
 # Largest number of responses to other requests that are skipped before the expected one.
 MAX_STRAY_RESPONSES = 4
 
@@ -60,6 +63,9 @@
         self.idle_limit_s = None
         self._request_id_header = None
         self._stray_count = 0
+        self._request_count = 0
+        self._framing_bytes = 0
+        self._body_bytes = 0
         self._transport = None
         self._parser = None
         self._is_close_delimited = False
@@ -79,6 +85,7 @@
             self._mark_failed("bytes arrived without a request in progress")
             self._transport.abort()
             return
+        body_bytes_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -87,6 +94,12 @@
             else:
                 self._is_reusable = False
             self._transport.abort()
+        self._framing_bytes += len(data)
+        if self._body_bytes > body_bytes_before:
+            self._framing_bytes = 0
+        if self._framing_bytes > MAX_FRAMING_BYTES and not self.response.complete:
+            self._mark_failed(f"sent {self._framing_bytes} bytes that are no body")
+            self._transport.abort()
         if len(self.response.body) > HIGH_WATER_BYTES and not self._is_reading_paused:
             self._is_reading_paused = True
             self._transport.pause_reading()
@@ -117,8 +130,8 @@
             self.response.reason += reason.decode("latin-1")
 
     def on_header(self, name, value):
-        """Adds a header to the response."""
-        if self.response.complete:
+        """Adds a header to the response; discards trailers."""
+        if self.response.complete or self.response.status:
             return
         text, content = name.decode("latin-1"), value.decode("latin-1")
         self.response.headers.append((text, content))
@@ -146,6 +159,7 @@
 
     def on_body(self, body):
         """Adds a part of the body to the response."""
+        self._body_bytes += len(body)
         if not self.response.complete:
             self.response.body += body
 
@@ -166,7 +180,7 @@
     def _read_keep_alive(self, text):
         for part in text.split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
+            if name.lower() == "timeout" and value.isascii() and value.isdigit():
                 self.idle_limit_s = float(value)
 
     def _mark_failed(self, reason):
@@ -192,6 +206,8 @@
         self.response = Response()
         self._request_id_header = request_id_header
         self._stray_count = 0
+        self._request_count += 1
+        self._framing_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._is_close_delimited = False
         self._transport.write(data)
@@ -214,16 +230,25 @@
             self._change_waiter = None
         return True
 
-    async def read_response(self, until: float) -> Response | None:
+    @property
+    def has_large_body(self) -> bool:
+        """Whether more of the body has arrived than is buffered."""
+        return self.response.status > 0 and len(self.response.body) > HIGH_WATER_BYTES
+
+    async def read_response(self, until: float, accepts_part: bool = False) -> Response | None:
         """Waits for the complete response.
 
         Args:
             until: Time at which the wait ends, in seconds of `core.clock`.
+            accepts_part: Whether the wait also ends with a part of a body that is too large to be
+                buffered. The rest is then read with `take_body`.
 
         Returns:
             The `Response`, or None if the channel failed or the wait timed out.
         """
         while not self.response.complete:
+            if accepts_part and self.has_large_body:
+                break
             if self.failure_reason or not await self.wait_for_change(until - clock.now()):
                 return None
         return self.response
@@ -238,9 +263,15 @@
         return data
 
     def matches_request(self, value: str) -> bool:
-        """Returns whether the response states the request id `value`, or states none."""
+        """Returns whether the response belongs to the request with the id `value`.
+
+        A response without an id may be a late one to an earlier request of the channel, so that
+        only the first response of a channel may lack it.
+        """
         found = self.response.value_by_header.get(self._request_id_header[0])
-        return found is None or found == value
+        if found is None:
+            return self._request_count == 1 and self._stray_count == 0
+        return found == value
 
     def release(self) -> bool:
         """Ends the request; closes the channel and returns False if it is not reusable."""
--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -96,13 +96,20 @@
         is_complete: Whether the response is complete or was aborted.
     """
 
-    __slots__ = ("has_begun", "is_complete", "_connection", "_close_after_response")
+    __slots__ = (
+        "has_begun",
+        "is_complete",
+        "_connection",
+        "_close_after_response",
+        "_is_chunked",
+    )
 
     def __init__(self, connection, keep_alive: bool):
         self.has_begun = False
         self.is_complete = False
         self._connection = connection
         self._close_after_response = not keep_alive
+        self._is_chunked = True
 
     def close_after_response(self):
         """Requests that the connection is closed after this response."""
@@ -122,10 +129,25 @@
         self._connection.write(encode_head(status, reason, fields) + bytes(body))
         self._close_if_requested()
 
-    def begin(self, status: int, headers: list[tuple[str, str]], reason: str = ""):
-        """Writes the head of a response that is sent in chunks."""
+    def begin(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        reason: str = "",
+        length: str | None = None,
+    ):
+        """Writes the head of a response whose body follows in parts.
+
+        Args:
+            status: Status code.
+            headers: (name, value) pairs.
+            reason: Reason phrase.
+            length: Number of bytes of the body, or None to send it in chunks.
+        """
         self.has_begun = True
-        fields = [*headers, ("Transfer-Encoding", "chunked")]
+        self._is_chunked = length is None
+        framing = ("Transfer-Encoding", "chunked") if length is None else ("Content-Length", length)
+        fields = [*headers, framing]
         self._close_after_response = (
             self._close_after_response or self._connection.server.is_draining
         )
@@ -134,12 +156,16 @@
         self._connection.write(encode_head(status, reason, fields))
 
     def write(self, data: bytes):
-        """Writes a chunk of the body after `begin`."""
+        """Writes a part of the body after `begin`."""
+        if not self._is_chunked:
+            self._connection.write(data)
+            return
         self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     def finish(self):
-        """Writes the last chunk of the body after `begin`."""
-        self._connection.write(b"0\r\n\r\n")
+        """Ends the body after `begin`."""
+        if self._is_chunked:
+            self._connection.write(b"0\r\n\r\n")
         self.is_complete = True
         self._close_if_requested()
 
@@ -148,9 +174,20 @@
         self.is_complete = True
         self._connection.abort()
 
-    async def wait_until_writable(self):
-        """Waits until the amount of unsent bytes is below `HIGH_WATER_BYTES`."""
-        await self._connection.writable.wait()
+    async def wait_until_writable(self, timeout_s: float) -> bool:
+        """Waits until the amount of unsent bytes is below `HIGH_WATER_BYTES`.
+
+        Returns:
+            False if the caller has not read enough within `timeout_s` seconds.
+        """
+        if self._connection.writable.is_set():
+            return True
+        try:
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                await self._connection.writable.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def _close_if_requested(self):
         if self._close_after_response:
@@ -168,6 +205,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._request = None
         self._header_bytes = 0
+        self._body_bytes = 0
         self._queued_requests = []
         self._task = None
         self._refusal_status = None
@@ -191,6 +229,7 @@
             # The data begins a new request, whose head is counted from zero.
             self._header_bytes = 0
         self._header_bytes += len(data)
+        body_bytes_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -199,9 +238,11 @@
             if self._refusal_status is None:
                 log.info("http: refused a malformed request: %s", error)
             self._record_refusal(self._refusal_status or 400)
-        if self._request is not None and not self._request.method:
-            if self._header_bytes > self.server.limits().header_bytes:
-                self._record_refusal(431)
+        if self._body_bytes > body_bytes_before:
+            self._header_bytes = 0
+        # Chunk extensions and trailers are limited as well as the head.
+        if self._request is not None and self._header_bytes > self.server.limits().header_bytes:
+            self._record_refusal(431)
         if len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
             self._transport.pause_reading()
         self._start_next_request()
@@ -237,7 +278,9 @@
         self._request.request_target += url.decode("latin-1")
 
     def on_header(self, name, value):
-        """Adds a header to the request."""
+        """Adds a header to the request; discards trailers."""
+        if self._request.method:
+            return
         text = name.decode("latin-1")
         content = value.decode("latin-1")
         self._request.headers.append((text, content))
@@ -266,6 +309,7 @@
             ValueError: The body is too large.
         """
         request = self._request
+        self._body_bytes += len(body)
         request.body += body
         if len(request.body) > self.server.limits().body_bytes:
             self._refusal_status = 413
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -24,8 +24,9 @@
 # Share of the route's gap objective after which a silent stream fails over to its copy, even if its
 # engine accepts connections. The rest is needed to connect and to read what the copy lacks.
 FAILOVER_SHARE = 0.75
-# Multiple of the gap objective that applies instead to a stream without a copy. This failover
-# costs more, because another engine has to read the whole prompt again.
+# Multiple of the gap objective that applies instead to a stream without a copy, and to the last run
+# that the route permits. This failover costs more, because another engine has to read the whole
+# prompt again, or the caller has to return.
 FAILOVER_FACTOR_WITHOUT_COPY = 3.0
 # Gap objective in seconds of routes that state none.
 DEFAULT_GAP_OBJECTIVE_SECONDS = 1.0
@@ -74,6 +75,7 @@
         longest_pause_s: Longest pause in seconds between two events so far.
         delivered_at: Time of the last delivery, in seconds of `core.clock`.
         is_delivered: Whether the caller has the whole response.
+        is_last_run: Whether the present attempt is the last one that the route permits.
         copy_manager: `copies.CopyManager` of the run.
     """
 
@@ -90,6 +92,7 @@
         "longest_pause_s",
         "delivered_at",
         "is_delivered",
+        "is_last_run",
         "copy_manager",
     )
 
@@ -116,6 +119,7 @@
         self.longest_pause_s = 0.0
         self.delivered_at = now
         self.is_delivered = False
+        self.is_last_run = False
         self.copy_manager = copies.CopyManager(forwarder, admitted, self.run, self.publish_run)
 
     def least_remaining_s(self) -> float:
@@ -299,9 +303,12 @@
                             self.run.unprocessed_tokens = 0
                         target.record_contact(now)
                         self.deliver_events(channel, data, count)
-                        await responder.wait_until_writable()
-                    last_arrival_at = now
-                    probe_succeeded = False
+                        if not await responder.wait_until_writable(admitted.remaining_s()):
+                            return AttemptEnd.EXPIRED, "the caller did not read in time"
+                        # Bytes of an incomplete event or a comment are no sign of progress. The
+                        # time in which the caller did not read is no silence of the engine.
+                        last_arrival_at = clock.now()
+                        probe_succeeded = False
                     no_copy_pending = copy_task is None or copy_task.done()
                     if (
                         got_events
@@ -360,8 +367,9 @@
                 PROBE_AFTER_SILENCE_SECONDS,
             )
         learned_limit_s = interval_estimate.silence_limit()
-        if self.run.copy_target_id:
-            longest_silence_s = self.max_gap_s * FAILOVER_SHARE
+        if self.run.copy_target_id and not self.is_last_run:
+            # An engine that has been slower than that for a while is sound.
+            longest_silence_s = max(self.max_gap_s * FAILOVER_SHARE, learned_limit_s)
         else:
             longest_silence_s = self.max_gap_s * FAILOVER_FACTOR_WITHOUT_COPY
         failover_after_s = (
@@ -514,6 +522,7 @@
             reason = f"{target.target_id} cannot be reached"
             forwarder.metrics.count("connects_failed")
             continue
+        stream.is_last_run = run_count + 1 >= admitted.route.max_runs
         try:
             end, reason = await stream.relay_events(target, channel)
         except BaseException:
