--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -289,8 +289,10 @@
     scores = [_engine_score(each, load_by_id, engine, tokens, now) for each in targets]
     score_by_id = {each.target_id: score for each, score in zip(targets, scores, strict=True)}
     accepted_score = min(scores, default=0.0) + MAX_EXCESS_SECONDS
+    # The sort is stable, so that engines that were just lost are drawn last.
+    ranked = sorted(rank_by_session(targets, session), key=lambda each: each.avoided_until > now)
     best, best_score = None, 0.0
-    for rank, target in enumerate(rank_by_session(targets, session)):
+    for rank, target in enumerate(ranked):
         is_next_group = rank > 0 and rank % CANDIDATE_ENGINES == 0
         if is_next_group and best_score <= accepted_score:
             break
