--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -99,7 +99,12 @@
                         ),
                     )
                     continue
-                outcome = handler(envelope.payload, envelope.trace or "")
+                try:
+                    outcome = handler(envelope.payload, envelope.trace or "")
+                # See `_reply_when_done`.
+                except Exception as error:
+                    log.exception("peers: a request handler raised an exception")
+                    outcome = codes.failure(codes.Code.INTERNAL, repr(error))
                 if not (asyncio.isfuture(outcome) or inspect.iscoroutine(outcome)):
                     self._reply(writer, envelope, outcome)
                     continue
@@ -344,6 +349,10 @@
             if envelope.code == codes.Code.OK:
                 future.set_result(expression.Ok(envelope.payload))
                 continue
-            future.set_result(
-                codes.failure(codes.Code(envelope.code), envelope.payload.decode(errors="replace"))
-            )
+            message = envelope.payload.decode(errors="replace")
+            try:
+                code = codes.Code(envelope.code)
+            except ValueError:
+                # A peer of a later version may have further codes.
+                code, message = codes.Code.INTERNAL, f"unknown code {envelope.code}: {message}"
+            future.set_result(codes.failure(code, message))
--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -97,3 +97,33 @@
         return result.error.code
 
     assert run(scenario()) == codes.Code.LINK_CLOSED
+
+
+def test_failing_plain_handler_and_unknown_codes_leave_the_connection_open():
+    # Guards against other calls of a connection that fail because the handler of one raised an
+    # error, or because a peer of a later version answered with a code that is unknown here.
+    class LaterCode(int):
+        pass
+
+    def handler(payload, _trace):
+        if payload == b"raise":
+            raise RuntimeError("fault")
+        if payload == b"later":
+            return expression.Error(codes.Failure(LaterCode(9999), "a later code"))
+        return expression.Ok(payload)
+
+    async def scenario():
+        server, link = await start(handler)
+        await call_until_ok(link, b"first")
+        found = await asyncio.gather(
+            *(link.call(KIND, payload, 2.0) for payload in (b"raise", b"later", b"sound"))
+        )
+        connected = link.connected
+        await link.close()
+        await server.close()
+        return found, connected
+
+    (raised, later, sound), connected = run(scenario())
+    assert raised.error.code == later.error.code == codes.Code.INTERNAL
+    assert "9999" in later.error.message
+    assert sound.ok == b"sound" and connected
