Continue a generation when a taken-over attempt cannot be confirmed

Change: such a reattachment is no refusal; the attempt is cancelled, and the generation continues by another attempt, which may run at the same engine and confirms the whole prefix.

--- a/chiveswitch/core/generation.py
+++ b/chiveswitch/core/generation.py
@@ -209,6 +209,8 @@
         number: Attempt number, unique per request.
         target: Target id.
         expected_prefix_length: Prefix length that the engine must confirm.
+        is_journaled: Whether an earlier owner started the attempt, so that its prefix length is
+            unknown here.
         confirmed: Whether the start event confirmed the prefix.
         is_steady: False until the first token after a start, a reattachment or a hedge.
         last_event_at: Time of the last event, or of the start.
@@ -221,6 +223,7 @@
         "number",
         "target",
         "expected_prefix_length",
+        "is_journaled",
         "confirmed",
         "is_steady",
         "last_event_at",
@@ -247,6 +250,7 @@
         self.number = number
         self.target = target
         self.expected_prefix_length = expected_prefix_length
+        self.is_journaled = False
         self.confirmed = False
         self.is_steady = False
         self.last_event_at = now
@@ -780,13 +784,21 @@
         )
         self._actions.append(messages.CancelAttempt(attempt.number, attempt.target))
 
-    def _move_to_next_attempt(self, now, silent=False, cancel=True):
-        """Abandons the current attempt; continues elsewhere with the received tokens as prefix."""
+    def _move_to_next_attempt(self, now, silent=False, cancel=True, exclude=True):
+        """Abandons the current attempt; continues with the received tokens as prefix.
+
+        Args:
+            now: Seconds on the caller's clock.
+            silent: Whether the engine was silent.
+            cancel: Whether the attempt has to be cancelled at its engine.
+            exclude: Whether the generation must continue at another engine.
+        """
         attempt = self._current
         self._mark_interrupted(attempt)
         self._supersede_attempt(attempt, now, silent, cancel)
         self._current = None
-        self._excluded_targets.add(attempt.target)
+        if exclude:
+            self._excluded_targets.add(attempt.target)
         if self._hedge is not None:
             self._current = self._hedge
             self._hedge = None
@@ -944,6 +956,12 @@
         hedge = self._hedge
         if current is not None and event.attempt == current.number:
             if not self._confirms_prefix(event, current):
+                if current.is_journaled and not current.confirmed:
+                    # The engine reports the prefix with which the attempt began. Whether all later
+                    # tokens are the attempt's own cannot be told, but the engine may continue the
+                    # generation by another attempt.
+                    self._move_to_next_attempt(now, exclude=False)
+                    return
                 self._handle_prefix_refusal(now)
                 return
             self._mark_confirmed(current, now)
@@ -1282,6 +1300,7 @@
         number, target = current
         estimate = self._detector.interval_estimate(target, detector.PREFILL)
         self._current = Attempt(number, target, len(self._tokens), now, estimate, 0)
+        self._current.is_journaled = True
         self._append_attempt_note(False, now)
         self._reattach_or_move(self._current, now)
 
--- a/chiveswitch/core/generation_test.py
+++ b/chiveswitch/core/generation_test.py
@@ -569,3 +569,26 @@
     actions = machine.handle(messages.JournalCommitted(2, 1, False, machine._note), 0.1)
     delivered = [action for action in actions if type(action) is messages.DeliverTokens]
     assert delivered == [messages.DeliverTokens("0", 2, 0, ["a"])]
+
+
+def test_a_taken_over_attempt_that_cannot_be_confirmed_is_no_refusal():
+    """Guards against a new generation after a takeover with one engine.
+
+    The new owner does not know the prefix with which the attempt began. When the engine reported
+    it, this counted as a refusal, and as no other engine was left, all tokens were discarded.
+    """
+    simulation = Simulation(random.Random(1))
+    tokens = ["t0", "t1", "t2", "t3"]
+    machine = generation.Generation.from_journal(
+        simulation.header, 2, tokens, False, '[1,[1,"e0"]]', *simulation.machine_arguments()[1:]
+    )
+    actions = machine.handle(messages.GenerationOpened(), 1.0)
+    assert [type(action) for action in actions if type(action) is messages.ReattachAttempt]
+    actions = machine.handle(messages.StreamStarted(1, 0, digests.of_tokens([])), 1.1)
+    choice = next(action for action in actions if type(action) is messages.ChooseTarget)
+    assert "e0" not in choice.exclude
+    assert any(type(action) is messages.CancelAttempt for action in actions)
+    actions = machine.handle(messages.TargetChosen(choice.choice, "e0"), 1.2)
+    actions += machine.handle(messages.JournalCommitted(2, 4, False, machine._note), 1.3)
+    started = [action for action in actions if type(action) is messages.StartAttempt]
+    assert [(each.generation, each.prefix) for each in started] == [(2, tokens)]
