Forget a pace that no stream has confirmed for ten seconds

Cause: found in reading the change: refused streams bring no observations, so that a pace learned in an overload could refuse all streams of a service at a gateway for good.

Change: without an observation for 10 s the pace is unknown, and only what no fast engine could serve is refused.

--- a/chiveswitch/core/pace.py
+++ b/chiveswitch/core/pace.py
@@ -10,6 +10,9 @@
 WINDOW_STREAMS = 16
 # Number of streams below which no pace is known.
 MIN_STREAMS = 4
+# Seconds without an observation after which the pace is unknown again. Refused streams bring none,
+# so that a pace from an overload would otherwise last.
+MAX_AGE_SECONDS = 10.0
 # Share of the recent streams that count as exceptionally fast, for example because an engine had
 # their prompt cached.
 OUTLIER_SHARE = 0.2
@@ -23,12 +26,29 @@
     All values describe the best streams, without outliers.
     """
 
-    __slots__ = ("_prefill_seconds_per_token", "_event_intervals", "_length_shares")
+    __slots__ = (
+        "_prefill_seconds_per_token",
+        "_event_intervals",
+        "_length_shares",
+        "_observed_at",
+    )
 
     def __init__(self):
         self._prefill_seconds_per_token = collections.deque(maxlen=WINDOW_STREAMS)
         self._event_intervals = collections.deque(maxlen=WINDOW_STREAMS)
         self._length_shares = collections.deque(maxlen=WINDOW_STREAMS)
+        self._observed_at = 0.0
+
+    def forget_old(self, now: float):
+        """Forgets the pace if no stream was observed for `MAX_AGE_SECONDS`."""
+        if now - self._observed_at <= MAX_AGE_SECONDS:
+            return
+        for values in (
+            self._prefill_seconds_per_token,
+            self._event_intervals,
+            self._length_shares,
+        ):
+            values.clear()
 
     def observe(
         self,
@@ -36,6 +56,7 @@
         first_event_s: float,
         event_interval_s: float,
         length_share: float,
+        now: float,
     ):
         """Adds a stream that one engine served from its first event to its last.
 
@@ -44,7 +65,9 @@
             first_event_s: Seconds from the request to the first event.
             event_interval_s: Average seconds between two events.
             length_share: Number of its events as a share of the largest possible number.
+            now: Current time in seconds.
         """
+        self._observed_at = now
         if prompt_tokens:
             self._prefill_seconds_per_token.append(first_event_s / prompt_tokens)
         self._event_intervals.append(event_interval_s)
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -193,8 +193,10 @@
                 del self._pace_by_service[name]
 
     def pace_of(self, service: str) -> pace.StreamPace:
-        """Returns the pace of a service's streams."""
-        return self._pace_by_service.setdefault(service, pace.StreamPace())
+        """Returns the recent pace of a service's streams."""
+        known_pace = self._pace_by_service.setdefault(service, pace.StreamPace())
+        known_pace.forget_old(clock.now())
+        return known_pace
 
     def check_target(self, target):
         """Checks whether a target is lost or only one connection to it broke.
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -155,6 +155,7 @@
             self.first_event_s,
             (self.delivered_at - first_event_at) / (self.delivered_count - 1),
             self.delivered_count / max_events,
+            clock.now(),
         )
 
     def adopt_run(self):
--- a/features/load/short_deadlines_test.py
+++ b/features/load/short_deadlines_test.py
@@ -12,7 +12,7 @@
     learned = pace.StreamPace()
     for number in range(count):
         first_event_s = 0.05 if number < cached else 1.0 + 0.1 * (number % 5)
-        learned.observe(PROMPT_TOKENS, first_event_s, 0.030 + 0.002 * (number % 4), 0.95)
+        learned.observe(PROMPT_TOKENS, first_event_s, 0.030 + 0.002 * (number % 4), 0.95, 1.0)
     return learned
 
 
@@ -43,6 +43,19 @@
     # Guards against refusals because of an overload that has passed.
     learned = learned_pace()
     for _ in range(pace.WINDOW_STREAMS // 2):
-        learned.observe(PROMPT_TOKENS, 0.5, 0.015, 0.95)
+        learned.observe(PROMPT_TOKENS, 0.5, 0.015, 0.95, 1.0)
     assert learned.least_prefill_s(PROMPT_TOKENS) == pytest.approx(0.5)
     assert learned.least_events_s(MAX_EVENTS, 0) < 2.0
+
+
+def test_a_pace_from_an_overload_does_not_refuse_streams_for_good():
+    # Guards against a gateway that refuses all streams because it learned its pace in an overload:
+    # refused streams bring no new observations.
+    learned = pace.StreamPace()
+    for _ in range(pace.WINDOW_STREAMS):
+        learned.observe(PROMPT_TOKENS, 30.0, 0.5, 0.95, 1.0)
+    learned.forget_old(1.0 + pace.MAX_AGE_SECONDS)
+    assert learned.least_prefill_s(PROMPT_TOKENS) == pytest.approx(30.0)
+    learned.forget_old(1.1 + pace.MAX_AGE_SECONDS)
+    assert learned.least_prefill_s(PROMPT_TOKENS) < 1.0
+    assert learned.least_events_s(MAX_EVENTS, 0) == 0.0
