Log how long reads of the config take and who is asked for a missing bundle

Two questions of the incident could not be answered from the logs: whether a read was confirmed late or its response was taken late or not at all, and which hub a node asked for a newer bundle that a hub had announced, and when.

operator: read has the time until control's confirmation; operator: document says whether the operator took the document, its size and the time; node: bundle_announced, bundle_requested and watch_timeout show the wait for a bundle.

--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -189,6 +189,11 @@
             return False
         return True
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that the system has not taken yet."""
+        return self._connection.unsent_bytes
+
     def _close_if_requested(self):
         if self._close_after_response:
             self._connection.close()
@@ -376,6 +381,11 @@
         """Closes the connection immediately and discards unsent bytes."""
         self._transport.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that the system has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress, queued or partly read."""
--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -31,9 +31,19 @@
         position: Position of the hub up to which its reports have been received.
         answered_at: Time of its last answer.
         is_hub: Whether its last answer said that it is a hub; False after it became unreachable.
+        asked_since: Value of `HubWatcher.bundle_missing_since` when the hub was last asked for a
+            missing bundle, or None.
     """
 
-    __slots__ = ("address", "link", "incarnation", "position", "answered_at", "is_hub")
+    __slots__ = (
+        "address",
+        "link",
+        "incarnation",
+        "position",
+        "answered_at",
+        "is_hub",
+        "asked_since",
+    )
 
     def __init__(self, address: str, link: links.Link):
         self.address = address
@@ -42,6 +52,7 @@
         self.position = 0
         self.answered_at = -REACHABLE_SECONDS
         self.is_hub = False
+        self.asked_since = None
 
 
 class HubWatcher:
@@ -75,7 +86,8 @@
             view: The node's view: `node_report()` returns the own NodeReport, `known_version()` the
                 version of the bundle, and `apply_target_reports`, `apply_node_reports`,
                 `apply_run_reports`, `apply_loss_reports`, `apply_bundle`, `discard_hub_reports`
-                and `log_hub_state` apply what was received.
+                and `log_hub_state` apply what was received; `log_watch_timeout`,
+                `log_bundle_announced` and `log_bundle_requested` log the watches.
             seeds: Peer addresses from the settings, watched until the members are known.
             own_address: Own peer address, which is not watched.
             rng: Random source.
@@ -190,7 +202,10 @@
 
     async def _watch_hub(self, state):
         while True:
-            request = self._build_watch(state, [], [], self._wants_bundle(state))
+            wants_bundle = self._wants_bundle(state)
+            if wants_bundle and self.bundle_missing_since is not None:
+                self._log_bundle_request(state)
+            request = self._build_watch(state, [], [], wants_bundle)
             result = await state.link.call(
                 kinds.Kind.HUB_WATCH,
                 strict.encode(request),
@@ -201,6 +216,7 @@
             if result.is_error():
                 if result.error.code == codes.Code.LINK_TIMEOUT:
                     state.link.reconnect()
+                    self._view.log_watch_timeout(state.address)
                 self._handle_failure(state, result.error.message)
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
                 continue
@@ -208,6 +224,12 @@
             if not state.is_hub:
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
+    def _log_bundle_request(self, state):
+        if state.asked_since == self.bundle_missing_since:
+            return
+        state.asked_since = self.bundle_missing_since
+        self._view.log_bundle_requested(state.address, clock.now() - self.bundle_missing_since)
+
     def _handle_failure(self, state, message):
         if state.is_hub and clock.now() - state.answered_at > REACHABLE_SECONDS:
             state.is_hub = False
@@ -239,6 +261,7 @@
         if answer.version > self._view.known_version():
             if self.bundle_missing_since is None:
                 self.bundle_missing_since = clock.now()
+                self._view.log_bundle_announced(answer.version, state.address)
         else:
             self.bundle_missing_since = None
         # An answer lists the newest reports first; they are applied in the order of their changes.
--- a/chiveswitch/platform/api.py
+++ b/chiveswitch/platform/api.py
@@ -96,7 +96,7 @@
     if result.ok is None:
         responder.send(503, [])
         return
-    responder.send(200, JSON_HEADERS, result.ok.source.encode())
+    await node.send_document(responder, JSON_HEADERS, result.ok.source.encode())
 
 
 @route("PUT", "instances")
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -40,6 +40,8 @@
 
 # Timeout in seconds of a request to the control leader, and so of the operator's request behind it.
 CONTROL_TIMEOUT_SECONDS = 0.9
+# Longest time in seconds for which a document is sent to an operator.
+DOCUMENT_TIMEOUT_SECONDS = 30.0
 # Timeout in seconds of a hub's acknowledgement of a target's announcement.
 HUB_ACK_TIMEOUT_SECONDS = 0.3
 # Interval in seconds between two sweeps of the tables and the connection pool.
@@ -561,14 +563,17 @@
             control did not confirm it in time or this node could not put it in force.
         """
         local_bundle = self.view.published
+        started = clock.now()
         read_result = await self.client.fetch_published(
-            local_bundle.version, clock.now() + CONTROL_TIMEOUT_SECONDS
+            local_bundle.version, started + CONTROL_TIMEOUT_SECONDS
         )
+        took = clock.now() - started
         if read_result.is_error():
-            self.log.line("operator", "read", outcome=read_result.error.message[:200])
+            reason = read_result.error.message[:200]
+            self.log.line("operator", "read", outcome=reason, took=took)
             return read_result
         answer = read_result.ok
-        self.log.line("operator", "read", version=answer.version, outcome="confirmed")
+        self.log.line("operator", "read", version=answer.version, outcome="confirmed", took=took)
         if answer.version > self.view.published.version:
             self.view.apply_bundle(answer.version, answer.content, answer.signature, "read")
         if answer.version == 0:
@@ -580,6 +585,30 @@
             )
         return expression.Ok(self.forwarder.bundle)
 
+    async def send_document(self, responder, headers: list, body: bytes):
+        """Sends a document to an operator, and logs whether and when the operator took it.
+
+        Args:
+            responder: The `http_server.Responder` of the operator's request.
+            headers: (name, value) pairs of the response.
+            body: The document.
+        """
+        started = clock.now()
+        responder.send(200, headers, body)
+        outcome = "cut"
+        try:
+            if await responder.wait_until_writable(DOCUMENT_TIMEOUT_SECONDS):
+                outcome = "sent"
+        finally:
+            self.log.line(
+                "operator",
+                "document",
+                outcome=outcome,
+                bytes=len(body),
+                unsent=responder.unsent_bytes,
+                took=clock.now() - started,
+            )
+
 
 def open_folder(settings) -> expression.Result:
     """Opens the node's data folder; at a first start the seeds become the first members.
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -204,6 +204,19 @@
         event = "hub_regained" if reachable else "hub_lost"
         self._log.line("node", event, hub=hub_address, reason=reason)
 
+    def log_watch_timeout(self, hub_address: str):
+        """Logs that a hub did not answer a watch in time."""
+        self._log.line("node", "watch_timeout", hub=hub_address)
+
+    def log_bundle_announced(self, version: int, hub_address: str):
+        """Logs that a hub has a newer bundle than this node."""
+        known = self.published.version
+        self._log.line("node", "bundle_announced", version=version, known=known, hub=hub_address)
+
+    def log_bundle_requested(self, hub_address: str, waited: float):
+        """Logs that a hub is asked for an announced bundle, and the seconds since then."""
+        self._log.line("node", "bundle_requested", hub=hub_address, waited=waited)
+
     # Called by the directory and the periodic sweep.
 
     def live_hubs(self) -> set:
