Show that a hub that is behind keeps a node from a newer bundle

A hub that is cut off from the leader still answers watches. Each of its answers ends the node's wait for the newer bundle that another hub has announced, so that the node never asks the other hub for it.

--- /dev/null
+++ b/chiveswitch/peers/hub_watch_test.py
@@ -0,0 +1,137 @@
+"""Tests of a node's watches against scripted hubs on loopback."""
+
+import asyncio
+import contextlib
+import random
+import unittest.mock
+
+import expression
+import pytest
+
+from chiveswitch.peers import hub, hub_watch, kinds, links, strict
+from chiveswitch.tools import processes
+from features import platform_standins
+
+thrift = hub.hub_thrift
+
+
+class ScriptedHub:
+    """A hub with one bundle version that answers watches at its own pace.
+
+    Attributes:
+        address: Its peer address.
+        version: Version of its bundle.
+        pause_s: Seconds after which it answers a watch for which it has no news.
+        watches: The received watches.
+    """
+
+    def __init__(self, version, pause_s=hub.LONG_POLL_SECONDS):
+        self.address = f"127.0.0.1:{processes.free_port()}"
+        self.version = version
+        self.pause_s = pause_s
+        self.watches = []
+        self._server = links.Server({kinds.Kind.HUB_WATCH: self._serve_watch})
+
+    async def start(self):
+        host, _, port = self.address.rpartition(":")
+        await self._server.start(host, int(port))
+
+    async def close(self):
+        await self._server.close()
+
+    async def _serve_watch(self, payload, _trace):
+        watch = strict.decode(thrift.Watch, payload).ok
+        self.watches.append(watch)
+        if self.version <= watch.known_version:
+            await asyncio.sleep(self.pause_s)
+        sends_bundle = watch.wants_bundle and self.version > watch.known_version
+        answer = thrift.WatchAnswer(
+            is_hub=True,
+            hub_incarnation=1,
+            position=1,
+            members_index=1,
+            hubs=[],
+            version=self.version,
+            content=b"content" if sends_bundle else b"",
+            signature=b"",
+            targets=[],
+            nodes=[],
+            runs=[],
+            losses=[],
+        )
+        return expression.Ok(strict.encode(answer))
+
+
+class View:
+    """A node's view that prefers one hub and holds the versions that it was given.
+
+    Attributes:
+        version: Version of the bundle in force.
+        source: Address of the hub that sent it.
+    """
+
+    def __init__(self, version, preferred):
+        self.version = version
+        self.source = ""
+        self._preferred = preferred
+        # The view's other methods have no effect here.
+        self._ignored = unittest.mock.MagicMock()
+
+    def __getattr__(self, name):
+        return getattr(self._ignored, name)
+
+    def known_version(self):
+        return self.version
+
+    def preferred_hub(self, addresses):
+        return self._preferred if self._preferred in addresses else sorted(addresses)[0]
+
+    def apply_bundle(self, version, _content, _signature, source):
+        self.version, self.source = version, source
+
+    def node_report(self):
+        return thrift.NodeReport(
+            name="n",
+            incarnation=1,
+            availability_zone="z",
+            region="r",
+            caller_address="10.0.0.9:80",
+            peer_address="10.0.0.9:90",
+            state=hub.NODE_READY,
+        )
+
+
+@contextlib.asynccontextmanager
+async def watching(view, hubs):
+    """Starts hubs and watches of them, and ends both."""
+    for each in hubs:
+        await each.start()
+    seeds = [each.address for each in hubs]
+    watcher = hub_watch.HubWatcher(view, seeds, "10.0.0.9:90", random.Random(1))
+    watcher.start()
+    try:
+        yield watcher
+    finally:
+        await watcher.close()
+        for each in hubs:
+            await each.close()
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: a hub that is behind")
+def test_a_newer_bundle_arrives_although_the_preferred_hub_is_behind():
+    # Guards against a node that keeps an old bundle while a hub that is cut off from the leader
+    # still answers: each answer of that hub ended the wait for the newer bundle of the others.
+    async def scenario():
+        behind = ScriptedHub(version=5, pause_s=0.05)
+        current = ScriptedHub(version=5, pause_s=0.05)
+        view = View(5, behind.address)
+        async with watching(view, [behind, current]):
+            # From its second watch on, the node wants bundles of the preferred hub only.
+            await platform_standins.wait_until(
+                lambda: current.watches and not current.watches[-1].wants_bundle
+            )
+            current.version = 9
+            await platform_standins.wait_until(lambda: view.version == 9, 4.0)
+        assert view.source == current.address
+
+    asyncio.run(scenario())
