Hold the watches of a node that waits for the bundle of another hub

The hub now remembers which version it has told each node, and holds the watch for at most 0.3 s, after which the node may ask this hub for the bundle.

The test fails on the code before (the watch is answered in the same step).

--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -21,6 +21,9 @@
 # Longest time that a hub holds a watch without changes before it answers. The answer also serves as
 # a heartbeat between node and hub.
 LONG_POLL_SECONDS = 0.5
+# Longest time for which a watch is held if the node lacks a bundle whose version it has been told.
+# It then asks this hub for the bundle unless another one has sent it.
+PENDING_POLL_SECONDS = 0.3
 # A node that sent no watch for this long counts as gone: long enough for two missed watches and the
 # delay of a slow link.
 NODE_TIMEOUT_SECONDS = 1.6
@@ -113,6 +116,7 @@
         "_heartbeat_s",
         "_entry_by_key",
         "_watch_futures",
+        "_announced_version_by_node",
         "_now",
         "_answer_timer",
     )
@@ -133,6 +137,7 @@
         self._heartbeat_s = heartbeat_s
         self._entry_by_key = {}
         self._watch_futures = set()
+        self._announced_version_by_node = {}
         self._now = now
         self._answer_timer = None
 
@@ -231,6 +236,8 @@
             silence = now - entry.last_report_at
             if silence > RETENTION_SECONDS_BY_KIND[entry.kind]:
                 del self._entry_by_key[key]
+                if entry.kind == "nodes":
+                    self._announced_version_by_node.pop(entry.report.name, None)
                 continue
             changed = self._report_after_silence(entry, silence)
             if changed is None:
@@ -296,20 +303,28 @@
         if not self._has_changes_for(watch):
             future = asyncio.get_running_loop().create_future()
             self._watch_futures.add(future)
+            is_pending = self.published().version > watch.known_version
             try:
-                async with asyncio.timeout(LONG_POLL_SECONDS):
+                async with asyncio.timeout(
+                    PENDING_POLL_SECONDS if is_pending else LONG_POLL_SECONDS
+                ):
                     await future
             except TimeoutError:
                 pass
             finally:
                 self._watch_futures.discard(future)
+        self._announced_version_by_node[watch.node.name] = self.published().version
         return expression.Ok(strict.encode(self._build_answer(watch, self.members(), True)))
 
     def _has_changes_for(self, watch):
         is_same_incarnation = watch.hub_incarnation == self.incarnation
         if not is_same_incarnation or watch.position < self.position:
             return True
-        return self.published().version > watch.known_version
+        known_version = watch.known_version
+        if not watch.wants_bundle:
+            announced_version = self._announced_version_by_node.get(watch.node.name, 0)
+            known_version = max(known_version, announced_version)
+        return self.published().version > known_version
 
     def _build_answer(self, watch, members, is_hub):
         published = self.published()
--- a/chiveswitch/peers/hub_test.py
+++ b/chiveswitch/peers/hub_test.py
@@ -126,6 +126,31 @@
     asyncio.run(scenario())
 
 
+def test_a_node_that_waits_for_a_bundle_is_told_its_version_once():
+    # Guards against a node and a hub that exchange watches without a pause while the node waits for
+    # the bundle of another hub, and so slow down the hub for all nodes.
+    async def scenario():
+        fixture = HubFixture()
+        first = await fixture.watch(version=2)
+        assert first.version == 3
+        known = {"position": first.position, "incarnation": first.hub_incarnation, "version": 2}
+
+        async def start_watch(**changes):
+            task = asyncio.ensure_future(fixture.watch(**known, **changes))
+            await asyncio.sleep(0)
+            return task
+
+        held = await start_watch()
+        assert not held.done()
+        assert (await held).version == 3
+        # A node that asks for the bundle gets it immediately, and a newer version is announced.
+        assert (await start_watch(wants=True)).result().content == b"content"
+        fixture.published = hub.PublishedBundle(4, b"content", b"signature")
+        assert (await start_watch()).result().version == 4
+
+    asyncio.run(scenario())
+
+
 def test_a_process_that_is_no_hub_only_names_the_hubs():
     async def scenario():
         answer = await HubFixture(is_member=False).watch()
