Pause before a refused bundle is requested again

A node whose bundle is refused, for example because its operator secret differs, requested it again without a pause: 2,607 times in a second in the test that this commit adds, which failed before. Found by looking for further loops of watches without a pause.

--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -10,7 +10,7 @@
 
 # Time to wait for an answer beyond the time for which a hub may hold a watch.
 RESPONSE_MARGIN_SECONDS = 0.7
-# Pause after a failed watch, and after an answer of a process that is no hub.
+# Pause after a failed watch, a bundle that was refused and an answer of a process that is no hub.
 RETRY_PAUSE_SECONDS = 0.2
 # Time since its last answer for which a hub counts as reachable.
 REACHABLE_SECONDS = 2.0
@@ -248,8 +248,10 @@
                 self._handle_failure(state, result.error.message)
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
                 continue
-            self._apply_answer(state, result.ok)
-            if not state.is_hub:
+            answer = result.ok
+            self._apply_answer(state, answer)
+            is_refused = answer.content and answer.version > self._view.known_version()
+            if not state.is_hub or is_refused:
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
 
     def _log_bundle_request(self, state):
--- a/chiveswitch/peers/hub_watch_test.py
+++ b/chiveswitch/peers/hub_watch_test.py
@@ -112,11 +112,13 @@
     Attributes:
         version: Version of the bundle in force.
         source: Address of the hub that sent it.
+        accepts: Whether received bundles are put in force.
     """
 
-    def __init__(self, version, preferred):
+    def __init__(self, version, preferred, accepts=True):
         self.version = version
         self.source = ""
+        self.accepts = accepts
         self._preferred = preferred
         # The view's other methods have no effect here.
         self._ignored = unittest.mock.MagicMock()
@@ -131,7 +133,8 @@
         return self._preferred if self._preferred in addresses else sorted(addresses)[0]
 
     def apply_bundle(self, version, _content, _signature, source):
-        self.version, self.source = version, source
+        if self.accepts:
+            self.version, self.source = version, source
 
     def node_report(self):
         return thrift.NodeReport(
@@ -196,3 +199,18 @@
             await current.close()
 
     asyncio.run(scenario())
+
+
+def test_a_refused_bundle_is_requested_with_pauses():
+    # Guards against a node that requests a bundle with an invalid signature again and again without
+    # a pause, which fills its link and slows down the hub.
+    async def scenario():
+        current = ScriptedHub(version=9)
+        view = View(5, current.address, accepts=False)
+        async with watching(view, [current]):
+            await platform_standins.wait_until(lambda: len(current.watches) >= 3)
+            started = len(current.watches)
+            await asyncio.sleep(5 * hub_watch.RETRY_PAUSE_SECONDS)
+        assert len(current.watches) - started <= 5
+
+    asyncio.run(scenario())
