Give the body of a request time as long as it makes progress

On a link of 5 Mbit/s a config above 1.9 MB would have been answered 408 each time, and so would a caller's body of 4 MB, which the limits allow.

After its head a request may now take as long as 16 KiB of its body arrive within each header timeout; a body that stalls or trickles still gets 408.

--- a/chiveswitch/core/routing.py
+++ b/chiveswitch/core/routing.py
@@ -119,7 +119,8 @@
     Attributes:
         header_bytes: Largest size in bytes of a request's headers.
         body_bytes: Largest size in bytes of a request's body.
-        header_timeout_s: Seconds within which a request must be complete after its first byte.
+        header_timeout_s: Seconds within which the head of a request must arrive after its first
+            byte, and in which its body must make progress.
         idle_timeout_s: Seconds for which a connection may be idle.
     """
 
--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -37,6 +37,8 @@
 MAX_PIPELINED_REQUESTS = 8
 # Unsent bytes of a response above which writers have to wait for the caller.
 HIGH_WATER_BYTES = 256 * 1024
+# Bytes of a request's body that must arrive within the header timeout until it is complete.
+MIN_BODY_PROGRESS_BYTES = 16 * 1024
 # Interval in seconds between checks for idle and slow connections.
 EXPIRY_CHECK_SECONDS = 0.5
 BACKLOG = 1024
@@ -212,6 +214,9 @@
         self._request = None
         self._header_bytes = 0
         self._body_bytes = 0
+        # Time at which the present request began or its body last made progress.
+        self._progress_at = 0.0
+        self._bytes_since_progress = 0
         self._queued_requests = []
         self._task = None
         self._refusal_status = None
@@ -278,6 +283,8 @@
     def on_message_begin(self):
         """Creates the next request."""
         self._request = Request(clock.now())
+        self._progress_at = self._request.received_at
+        self._bytes_since_progress = 0
 
     def on_url(self, url):
         """Adds a part of the request target."""
@@ -316,6 +323,10 @@
         """
         request = self._request
         self._body_bytes += len(body)
+        self._bytes_since_progress += len(body)
+        if self._bytes_since_progress >= MIN_BODY_PROGRESS_BYTES:
+            self._bytes_since_progress = 0
+            self._progress_at = clock.now()
         request.body += body
         if len(request.body) > self.server.limits().body_bytes:
             self._refusal_status = 413
@@ -398,7 +409,7 @@
             return
         limits = self.server.limits()
         if self._request is not None:
-            if now - self._request.received_at > limits.header_timeout_s:
+            if now - self._progress_at > limits.header_timeout_s:
                 Responder(self, False).send(408, [])
             return
         if now - self._last_active_at > limits.idle_timeout_s:
