Log whether an engine had begun to answer, and the parts of the prompt

When a stream leaves an engine, the log could not tell a prompt that ends engines from a request that happened to wait at an engine that ended for another reason: stream_moves now says whether the head of the engine's response had arrived, and which parts the prompt consists of.

--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -30,6 +30,8 @@
 FAILOVER_FACTOR_WITHOUT_COPY = 3.0
 # Gap objective in seconds of routes that state none.
 DEFAULT_GAP_OBJECTIVE_SECONDS = 1.0
+# Longest text of a prompt's part ids in a log line.
+MAX_LOGGED_PARTS_LENGTH = 200
 # Rejections by engines after which a stream is refused. Each rejection costs a round trip. Each
 # round in which all engines were tried counts as one, too.
 MAX_REJECTIONS = 4
@@ -566,6 +568,8 @@
             copy=stream.run.copy_target_id,
             from_copy=from_copy,
             events=stream.delivered_count,
+            answering=int(channel.response.status > 0),
+            parts=",".join(admitted.caller.prompt_parts)[:MAX_LOGGED_PARTS_LENGTH],
             left=admitted.remaining_s(),
         )
         may_continue = admitted.route.resumable or end == AttemptEnd.REJECTED
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -101,8 +101,9 @@
         if len(usage) == 2:
             caller.prompt_tokens = int(_parse_number(usage[0]) or 0)
             caller.max_response_tokens = int(_parse_number(usage[1]) or 0)
-        last_part = value_by_header.get(PROMPT_PREFIX, "").rpartition(",")[2]
-        caller.session = last_part.partition(":")[0].strip()
+        for part in value_by_header.get(PROMPT_PREFIX, "").split(","):
+            caller.prompt_parts.append(part.partition(":")[0].strip())
+        caller.session = caller.prompt_parts[-1]
         connection_headers = set()
         for name in value_by_header.get("connection", "").lower().split(","):
             connection_headers.add(name.strip())
--- a/chiveswitch/platform/headers_test.py
+++ b/chiveswitch/platform/headers_test.py
@@ -30,7 +30,8 @@
 def test_request_headers_are_decoded():
     caller = DIALECT.decode_request(make_request(CALLER_HEADERS))
     assert (caller.request_id, caller.account_key, caller.wait_s) == ("r1", "secret-key", 1.5)
-    assert (caller.prompt_tokens, caller.max_response_tokens, caller.session) == (800, 100, "bb")
+    assert (caller.prompt_tokens, caller.max_response_tokens) == (800, 100)
+    assert (caller.prompt_parts, caller.session) == (["aa", "bb"], "bb")
     assert caller.last_event_id == 12
 
 
