Let thrift fields be optional where the IDL says so

The strict decoder refused each message in which a field was missing. A field that is declared optional may be missing now, so that a later version can add one without changing the messages of which it has no part; a required one may not, and a present one is checked as before. The fields of directory.thrift had no declaration and are declared required, which they were in effect.

Adds the reports of prompts to the hubs' messages; nothing sends them yet.

--- a/chiveswitch/peers/directory.thrift
+++ b/chiveswitch/peers/directory.thrift
@@ -2,45 +2,45 @@
 // for each entry, because a struct for each entry would add 3 bytes for each of its fields.
 
 struct Model {
-  1: string model,
-  2: string adapter,
-  3: string version,
+  1: required string model,
+  2: required string adapter,
+  3: required string version,
 }
 
 struct Description {
-  1: string id,
-  2: byte kind,
-  3: string availability_zone,
-  4: string address,
-  5: string peer_address,
-  6: i64 incarnation,
-  7: list<Model> models,
-  8: string role,
-  9: i32 capacity,
-  10: list<i64> warm_prefixes,
-  11: bool honours_fencing,
-  12: list<string> services,
+  1: required string id,
+  2: required byte kind,
+  3: required string availability_zone,
+  4: required string address,
+  5: required string peer_address,
+  6: required i64 incarnation,
+  7: required list<Model> models,
+  8: required string role,
+  9: required i32 capacity,
+  10: required list<i64> warm_prefixes,
+  11: required bool honours_fencing,
+  12: required list<string> services,
 }
 
 struct PullRequest {
-  1: string asker,
-  2: string gateway_id,
-  3: i64 incarnation,
-  4: i64 watermark,
-  5: list<i64> wanted,
+  1: required string asker,
+  2: required string gateway_id,
+  3: required i64 incarnation,
+  4: required i64 watermark,
+  5: required list<i64> wanted,
 }
 
 struct PullAnswer {
-  1: string gateway_id,
-  2: i64 incarnation,
-  3: i64 since,
-  4: i64 watermark,
-  5: list<i64> digests,
-  6: list<i32> sequences,
+  1: required string gateway_id,
+  2: required i64 incarnation,
+  3: required i64 since,
+  4: required i64 watermark,
+  5: required list<i64> digests,
+  6: required list<i32> sequences,
   // In hundredths of a second, rounded up.
-  7: list<i16> ages,
-  8: list<byte> states,
-  9: list<i16> running,
-  10: list<i16> queued,
-  11: list<Description> descriptions,
+  7: required list<i16> ages,
+  8: required list<byte> states,
+  9: required list<i16> running,
+  10: required list<i16> queued,
+  11: required list<Description> descriptions,
 }
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -21,6 +21,13 @@
 // A gateway could not reach a target, or its streams to the target broke; at_ms orders the reports.
 struct LossReport { 1: required string target_id, 2: required string node, 3: required i64 at_ms }
 
+// What happened to a prompt at an engine: outcome 0 the engine crashed before it began to answer, 1 it
+// crashed while it began to answer, 2 it has sent events. The last part belongs to the request or
+// session, except in reports with outcome 2. age_ms: time since then when the message is sent.
+struct PromptReport { 1: required i32 outcome, 2: required list<string> parts,
+  3: required string target_id, 4: required i64 age_ms }
+struct PromptReports { 1: required list<PromptReport> reports }
+
 struct Watch { 1: required NodeReport node, 2: required i64 hub_incarnation, 3: required i64 position,
   4: required i64 known_version, 5: required bool wants_bundle, 6: required list<RunReport> runs,
   7: required list<LossReport> losses }
@@ -28,7 +35,7 @@
   4: required i64 members_index, 5: required list<string> hubs, 6: required i64 version,
   7: required binary content, 8: required binary signature, 9: required list<TargetReport> targets,
   10: required list<NodeReport> nodes, 11: required list<RunReport> runs,
-  12: required list<LossReport> losses }
+  12: required list<LossReport> losses, 13: optional list<PromptReport> prompts }
 
 struct Report { 1: required TargetReport target }
 struct ReportAnswer { 1: required bool accepted, 2: required string hub_address }
--- a/chiveswitch/peers/strict.py
+++ b/chiveswitch/peers/strict.py
@@ -2,7 +2,8 @@
 
 thriftpy2 loops over announced element counts without comparing them with the length of the data, so
 that a few malicious bytes can keep it busy for minutes. The check refuses such input, and also
-unknown, repeated, missing and reordered fields, wrong types and trailing bytes.
+unknown, repeated, missing and reordered fields, wrong types and trailing bytes. Only a field that
+the IDL declares optional may be missing.
 """
 
 import pathlib
@@ -79,10 +80,17 @@
 def check_struct(struct_class: type, data: bytes, offset: int) -> int:
     """Checks the struct at an offset and returns the offset after it; raises `WireError`."""
     for field_id, spec in sorted(struct_class.thrift_spec.items()):
-        field_type, found_id = struct.unpack_from(">bh", data, offset)
+        # The stop byte at the end of the data, where optional fields may be missing, has no id.
+        if offset + 3 <= len(data):
+            field_type, found_id = struct.unpack_from(">bh", data, offset)
+        else:
+            field_type, found_id = data[offset], None
         # `binary` and `string` have the same type number on the wire.
         expected = thrift.TType.STRING if spec[0] == BINARY else spec[0]
         if (field_type, found_id) != (expected, field_id):
+            is_required = spec[-1]
+            if not is_required:
+                continue
             raise WireError(f"field {spec[1]} is missing or has another type")
         detail = spec[2] if len(spec) == 4 else None
         offset = check_value(spec[0], detail, data, offset + 3)
