Refuse prompts with a part that crashes engines

Cause: nothing remembers why an engine was lost.

Responses that begin refute the suspicion, and trials end it.

Processes of the build before do not understand the hubs' answers while such reports are kept; without them the messages are the same.

--- a/chiveswitch/forwarding/exchange.py
+++ b/chiveswitch/forwarding/exchange.py
@@ -11,6 +11,7 @@
         last_event_id: Id of the last event that the caller received, or None.
         prompt_tokens: Tokens of the prompt, 0 if unknown.
         max_response_tokens: Largest number of tokens of the response, 0 if unknown.
+        model: Name of the model, or an empty string.
         prompt_parts: Ids of the parts of the prompt in order. Requests share parts, except for the
             last one.
         session: Id of the last part of the prompt, which only this request or the requests of its
@@ -25,6 +26,7 @@
         "last_event_id",
         "prompt_tokens",
         "max_response_tokens",
+        "model",
         "prompt_parts",
         "session",
         "forwarded_headers",
@@ -37,6 +39,7 @@
         self.last_event_id = None
         self.prompt_tokens = 0
         self.max_response_tokens = 0
+        self.model = ""
         self.prompt_parts = []
         self.session = ""
         self.forwarded_headers = []
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -4,7 +4,16 @@
 import asyncio
 import random
 
-from chiveswitch.core import clock, codes, detector, pace, placement, retry, routing
+from chiveswitch.core import (
+    clock,
+    codes,
+    detector,
+    pace,
+    placement,
+    prompt_quarantine,
+    retry,
+    routing,
+)
 from chiveswitch.forwarding import channel as channels
 from chiveswitch.forwarding import exchange, pool
 
@@ -103,6 +112,11 @@
         zone: Availability zone of this gateway.
         node_name: Name of this gateway's node.
         report_run: Function that is called with each changed `placement.Run`.
+        quarantine: `prompt_quarantine.PromptQuarantine` with the prompts that crash engines.
+        report_prompt: Function that is called with each `prompt_quarantine.Report` for the other
+            gateways.
+        starting_streams: Streams that wait for the first events of an engine; each has
+            `cancel_start`.
         draining_since: Time at which the process began to stop, in seconds of `core.clock`, or
             None.
         stream_admission_window_s: Seconds after `draining_since` in which streams are admitted.
@@ -122,12 +136,15 @@
         "zone",
         "node_name",
         "report_run",
+        "quarantine",
+        "report_prompt",
+        "starting_streams",
         "draining_since",
         "stream_admission_window_s",
         "rng",
         "_pace_by_service",
         "_tasks",
-        "_checked_ids",
+        "_check_by_id",
         "_started_at",
     )
 
@@ -154,12 +171,17 @@
         self.zone = settings.availability_zone
         self.node_name = settings.name
         self.report_run = report_run
+        self.report_prompt = lambda report: None
+        self.starting_streams = set()
         self.draining_since = None
         self.stream_admission_window_s = settings.stop_grace_s * STREAM_ADMISSION_SHARE
         self.rng = random.Random()
+        self.quarantine = prompt_quarantine.PromptQuarantine(
+            self.rng, self._on_prompt_held, self._on_prompt_released
+        )
         self._pace_by_service = {}
         self._tasks = set()
-        self._checked_ids = set()
+        self._check_by_id = {}
         self._started_at = clock.now()
 
     async def _wait_for_startup_data(self, request, caller, is_available):
@@ -178,11 +200,12 @@
                 return
             await asyncio.sleep(STARTUP_POLL_SECONDS)
 
-    def spawn(self, coroutine):
-        """Runs a coroutine as a task that may outlive its request."""
+    def spawn(self, coroutine) -> asyncio.Task:
+        """Runs a coroutine as a task that may outlive its request, and returns the task."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def set_bundle(self, bundle: routing.RouteBundle):
         """Puts a bundle in force and drops what was learned of services that it does not name."""
@@ -198,29 +221,94 @@
         known_pace.forget_old(clock.now())
         return known_pace
 
-    def check_target(self, target):
+    def check_target(self, target) -> asyncio.Task:
         """Checks whether a target is lost or only one connection to it broke.
 
         Other targets are preferred until the check has ended. A connection may also break because
         of the network, this VM or the target's limit of connections.
+
+        Returns:
+            The task of the check, whose result is whether the target accepts connections.
         """
         target.suspect(clock.now())
-        if target.target_id in self._checked_ids:
-            return
-        self._checked_ids.add(target.target_id)
-        self.spawn(self._check_target(target))
+        check = self._check_by_id.get(target.target_id)
+        if check is None:
+            check = self._check_by_id[target.target_id] = self.spawn(self._check_target(target))
+        return check
 
     async def _check_target(self, target):
         try:
             reachable = await channels.can_connect(target.address, pool.CONNECT_TIMEOUT_SECONDS)
         finally:
-            self._checked_ids.discard(target.target_id)
+            del self._check_by_id[target.target_id]
         self.metrics.count("liveness_checks")
         if reachable:
             target.record_contact(clock.now())
         else:
             self.target_table.record_loss(target, clock.now())
         self.log.line("gateway", "target_checked", target=target.target_id, lost=int(not reachable))
+        return reachable
+
+    def report_crash(self, report: prompt_quarantine.Report):
+        """Records the crash of an engine that had a prompt, and tells the other gateways.
+
+        Args:
+            report: The report with the outcome and the parts of the prompt.
+        """
+        if self.target_table.is_draining_or_gone(report.target_id):
+            return
+        self.log.line(
+            "gateway",
+            "prompt_reported",
+            outcome=report.outcome.name.lower(),
+            target=report.target_id,
+            parts=",".join(report.parts),
+        )
+        self.metrics.count(f"prompts_{report.outcome.name.lower()}")
+        self.report_prompt(report)
+        self.apply_prompt_report(report)
+
+    def record_beginning(self, parts: list, target):
+        """Records that an engine has begun to answer a prompt.
+
+        Args:
+            parts: Keys of the prompt's parts.
+            target: The engine.
+        """
+        now = clock.now()
+        for part in self.quarantine.record_beginning(parts, now):
+            self._report_beginning(part, now, target.target_id)
+
+    def apply_prompt_report(self, report: prompt_quarantine.Report):
+        """Applies a crash that this gateway saw, or a report of another gateway."""
+        for part, began_at in self.quarantine.apply_report(report, clock.now()):
+            self._report_beginning(part, began_at, report.target_id)
+
+    def _report_beginning(self, part, began_at, target_id):
+        outcome = prompt_quarantine.Outcome.BEGAN
+        self.report_prompt(prompt_quarantine.Report(outcome, [part], began_at, target_id))
+
+    def _on_prompt_held(self, part, suspect, parts):
+        self.metrics.count("prompts_held")
+        engines = {crash.target_id for crash in suspect.crashes}
+        self.log.line(
+            "gateway",
+            "prompt_held",
+            held=part,
+            crashes=len(suspect.crashes),
+            weight=suspect.weight(),
+            requests=suspect.request_count(),
+            engines=",".join(sorted(engines)),
+            first=suspect.held_since - suspect.crashes[0].at,
+            seconds=suspect.held_until - suspect.held_since,
+            prompt=",".join(parts),
+        )
+        for stream in list(self.starting_streams):
+            stream.cancel_start(part)
+
+    def _on_prompt_released(self, part, suspect):
+        held_s = clock.now() - suspect.held_since
+        self.log.line("gateway", "prompt_released", held=part, seconds=held_s)
 
     def limits(self) -> routing.Limits:
         """Returns the limits in force."""
--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -4,7 +4,14 @@
 
 import orjson
 
-from chiveswitch.core import clock, decision_log, metrics, retry, target_table
+from chiveswitch.core import (
+    clock,
+    decision_log,
+    metrics,
+    prompt_quarantine,
+    retry,
+    target_table,
+)
 from chiveswitch.forwarding import calls, forwarder, http_server, streams
 from chiveswitch.peers import hub
 from chiveswitch.platform import documents, headers
@@ -624,3 +631,68 @@
         assert repeats <= limits.slack / retry.ASSUMED_GATEWAYS + 60 * limits.ratio
 
     run(scenario, tmp_path)
+
+
+def prompt(*parts):
+    """Returns the header that lists the parts of a prompt."""
+    return {"X-Prompt-Prefix": ",".join(f"{part}:100" for part in parts)}
+
+
+def test_prompts_with_a_part_that_crashes_engines_are_refused(tmp_path):
+    # Guards against requests that share one part only and crash one engine after the other, and
+    # against the refusal of sound prompts that have the other parts in common with them.
+    async def scenario(fixture):
+        await add_engines(fixture, 8)
+        engines = list(fixture.workers.values())
+        for engine in engines:
+            engine.crashing_parts = {"bad"}
+            engine.restart_seconds = 60.0
+        statuses = []
+        for number in range(6):
+            answer = await stream(fixture, f"r{number}", **prompt("aa", "bad", f"b{number}"))
+            statuses.append(answer.status)
+        assert sum(engine.crash_count for engine in engines) <= 5
+        # The first requests may have run; the others certainly have not.
+        assert statuses[0] == 502 and statuses[-1] == 503
+        assert answer.value_by_header["x-chiveswitch-code"] == "3010"
+        assert float(answer.value_by_header["retry-after"]) > 1.0
+        sound = await stream(fixture, "s1", **prompt("aa", "c1"))
+        assert sound.event_ids() == list(range(12))
+
+    text = run(scenario, tmp_path)
+    assert "gateway: prompt_held" in text and "held=m:bad" in text
+
+
+def test_a_request_that_waits_is_given_up_when_its_prompt_is_found_to_crash_engines(tmp_path):
+    # Guards against the crash of engines that already have requests with a part, when this part is
+    # found to crash engines.
+    async def scenario(fixture):
+        await add_engines(fixture, 1)
+        worker = fixture.workers["e0"]
+        worker.behaviour = "hang"
+        waiting = asyncio.ensure_future(stream(fixture, "r1", **prompt("aa", "bad", "b1")))
+        await platform_standins.wait_until(lambda: worker.runs)
+        for number in range(3):
+            report = prompt_quarantine.Report(
+                prompt_quarantine.Outcome.CRASHED_ANSWERING,
+                ["m:aa", "m:bad", f"m:c{number}"],
+                clock.now() - number,
+                "other",
+            )
+            fixture.gateway.apply_prompt_report(report)
+        assert (await waiting).status == 502
+        await platform_standins.wait_until(lambda: worker.aborted_request_ids == ["r1"])
+
+    run(scenario, tmp_path)
+
+
+def test_a_broken_connection_to_a_running_engine_is_no_crash(tmp_path):
+    # Guards against sound prompts that are suspected because the network resets connections.
+    async def scenario(fixture):
+        await add_engines(fixture, 3)
+        for worker in fixture.workers.values():
+            worker.cut_after = 0
+        for number in range(4):
+            await stream(fixture, f"r{number}", **prompt("aa", "mid", f"b{number}"))
+
+    assert "prompt_reported" not in run(scenario, tmp_path)
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -8,7 +8,15 @@
 import asyncio
 import enum
 
-from chiveswitch.core import clock, codes, detector, events, placement, routing
+from chiveswitch.core import (
+    clock,
+    codes,
+    detector,
+    events,
+    placement,
+    prompt_quarantine,
+    routing,
+)
 from chiveswitch.forwarding import channel as channels
 from chiveswitch.forwarding import copies
 from chiveswitch.forwarding import forwarder as forwarding
@@ -30,8 +38,10 @@
 FAILOVER_FACTOR_WITHOUT_COPY = 3.0
 # Gap objective in seconds of routes that state none.
 DEFAULT_GAP_OBJECTIVE_SECONDS = 1.0
-# Longest text of a prompt's part ids in a log line.
-MAX_LOGGED_PARTS_LENGTH = 200
+# Events after which an engine has begun to answer a prompt without a crash.
+BEGUN_EVENTS = 3
+# Longest key of a part of a prompt.
+MAX_PART_LENGTH = 80
 # Rejections by engines after which a stream is refused. Each rejection costs a round trip. Each
 # round in which all engines were tried counts as one, too.
 MAX_REJECTIONS = 4
@@ -51,6 +61,7 @@
     DISCONNECTED: the connection to the engine ended.
     FAULTY: the engine sent something else than the expected events.
     EXPIRED: the caller's deadline passed.
+    QUARANTINED: the prompt was found to crash engines before this one sent an event.
     """
 
     DELIVERED = enum.auto()
@@ -59,6 +70,18 @@
     DISCONNECTED = enum.auto()
     FAULTY = enum.auto()
     EXPIRED = enum.auto()
+    QUARANTINED = enum.auto()
+
+
+def part_keys(caller) -> list:
+    """Returns the keys under which the parts of a caller's prompt are reported.
+
+    The same text may crash one model only. Parts in the middle of a very long list are left out.
+    """
+    parts = caller.prompt_parts
+    if len(parts) > prompt_quarantine.MAX_PROMPT_PARTS:
+        parts = [*parts[: prompt_quarantine.MAX_PROMPT_PARTS - 1], parts[-1]]
+    return [f"{caller.model}:{part}"[:MAX_PART_LENGTH] for part in parts]
 
 
 class ForwardedStream:
@@ -79,6 +102,10 @@
         is_delivered: Whether the caller has the whole response.
         is_last_run: Whether the present attempt is the last one that the route permits.
         copy_manager: `copies.CopyManager` of the run.
+        parts: Keys of the prompt's parts; see `part_keys`.
+        attempt_event_count: Number of events that the present engine has sent.
+        channel: Channel of the present attempt, or None.
+        quarantined_part: Part for which the present attempt is given up, or an empty string.
     """
 
     __slots__ = (
@@ -96,6 +123,10 @@
         "is_delivered",
         "is_last_run",
         "copy_manager",
+        "parts",
+        "attempt_event_count",
+        "channel",
+        "quarantined_part",
     )
 
     def __init__(self, forwarder, admitted):
@@ -123,6 +154,39 @@
         self.is_delivered = False
         self.is_last_run = False
         self.copy_manager = copies.CopyManager(forwarder, admitted, self.run, self.publish_run)
+        self.parts = part_keys(caller)
+        self.attempt_event_count = 0
+        self.channel = None
+        self.quarantined_part = ""
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether some engine has begun to answer the prompt without a crash."""
+        return self.buffer.last_id is not None and self.buffer.last_id + 1 >= BEGUN_EVENTS
+
+    def cancel_start(self, part: str):
+        """Gives up the present attempt if its prompt contains a part that crashes engines."""
+        if part in self.parts and not self.has_begun:
+            self.quarantined_part = part
+            self.channel.wake_waiter()
+
+    async def report_crash_if_lost(self, check, target, is_answering: bool):
+        """Reports a crash if an engine accepts no connections after its connection broke.
+
+        Args:
+            check: Task of `forwarder.Forwarder.check_target`.
+            target: The engine, which had sent no event of this stream.
+            is_answering: Whether the head of its response had arrived.
+        """
+        crashed_at = clock.now()
+        if await check:
+            return
+        outcome = prompt_quarantine.Outcome.CRASHED_WAITING
+        if is_answering:
+            outcome = prompt_quarantine.Outcome.CRASHED_ANSWERING
+        self.forwarder.report_crash(
+            prompt_quarantine.Report(outcome, self.parts, crashed_at, target.target_id)
+        )
 
     def least_remaining_s(self) -> float:
         """Returns the least seconds in which an engine without the run's memory can finish."""
@@ -281,6 +345,10 @@
         got_events = False
         accepted = False
         interval_estimate = forwarder.detector.interval_estimate(target.target_id, detector.DECODE)
+        self.channel = channel
+        self.attempt_event_count = 0
+        self.quarantined_part = ""
+        self.forwarder.starting_streams.add(self)
         try:
             while True:
                 response = channel.response
@@ -305,6 +373,7 @@
                             got_events = True
                             self.run.unprocessed_tokens = 0
                         target.record_contact(now)
+                        self.count_events(target, count)
                         self.deliver_events(channel, data, count)
                         if not await responder.wait_until_writable(admitted.remaining_s()):
                             return AttemptEnd.EXPIRED, "the caller did not read in time"
@@ -329,6 +398,8 @@
                     return AttemptEnd.DISCONNECTED, channel.failure_reason
                 if admitted.remaining_s() <= 0:
                     return AttemptEnd.EXPIRED, "the deadline has passed"
+                if self.quarantined_part and not got_events:
+                    return AttemptEnd.QUARANTINED, f"{self.quarantined_part} crashes engines"
                 if probe is not None and probe.done():
                     if not probe.result():
                         return AttemptEnd.SILENT, "no longer accepts connections"
@@ -352,10 +423,21 @@
                         continue
                 await channel.wait_for_change(wait_s)
         finally:
+            self.forwarder.starting_streams.discard(self)
             for task in (probe, copy_task):
                 if task is not None:
                     task.cancel()
 
+    def count_events(self, target, count: int):
+        """Counts events of the present engine and records that it has begun to answer."""
+        before, self.attempt_event_count = (
+            self.attempt_event_count,
+            self.attempt_event_count + count,
+        )
+        if before < BEGUN_EVENTS <= self.attempt_event_count:
+            self.forwarder.starting_streams.discard(self)
+            self.forwarder.record_beginning(self.parts, target)
+
     def silence_limits(self, interval_estimate, got_events, probe_succeeded) -> tuple[float, float]:
         """Returns the seconds of silence after which to fail over, and after which to probe.
 
@@ -424,6 +506,8 @@
             return AttemptEnd.FAULTY, "ended in the middle of an event"
         self.begin_response(channel).finish()
         self.is_delivered = True
+        if self.attempt_event_count < BEGUN_EVENTS:
+            self.forwarder.record_beginning(self.parts, target)
         target.record_outcome(False, clock.now() - self.admitted.request.received_at)
         self.observe_pace()
         self.forwarder.pool.release(channel)
@@ -504,8 +588,14 @@
     rejection_count = 0
     run_count = 0
     too_late = False
+    quarantine_s = None
     reason = "no target"
     while admitted.remaining_s() > 0:
+        if not stream.has_begun:
+            held = forwarder.quarantine.find_held(stream.parts, clock.now())
+            if held is not None:
+                reason, quarantine_s = f"{held[0]} crashes engines", held[1]
+                break
         least_s = 0.0 if stream.resumes_from_copy else stream.least_remaining_s()
         if admitted.remaining_s() < least_s:
             reason = f"needs {least_s:.3f} s of {admitted.remaining_s():.3f} s"
@@ -538,6 +628,8 @@
         now = clock.now()
         # The run must be stopped at this engine before it continues at another one.
         channel.abort()
+        if end == AttemptEnd.QUARANTINED:
+            continue
         if end == AttemptEnd.REJECTED:
             if not from_copy:
                 rejection_count += 1
@@ -549,7 +641,13 @@
             if end == AttemptEnd.SILENT:
                 forwarder.target_table.record_loss(target, now)
             elif end == AttemptEnd.DISCONNECTED:
-                forwarder.check_target(target)
+                check = forwarder.check_target(target)
+                if stream.parts and not stream.has_begun:
+                    # The next attempt depends on the outcome, which the other gateways need even
+                    # if the caller leaves.
+                    is_answering = channel.response.status == 200
+                    reporting = stream.report_crash_if_lost(check, target, is_answering)
+                    await asyncio.shield(forwarder.spawn(reporting))
             if end != AttemptEnd.EXPIRED:
                 target.record_outcome(True, 0.0)
             stream.excluded_ids = {target.target_id}
@@ -569,7 +667,7 @@
             from_copy=from_copy,
             events=stream.delivered_count,
             answering=int(channel.response.status > 0),
-            parts=",".join(admitted.caller.prompt_parts)[:MAX_LOGGED_PARTS_LENGTH],
+            parts=",".join(stream.parts),
             left=admitted.remaining_s(),
         )
         may_continue = admitted.route.resumable or end == AttemptEnd.REJECTED
@@ -592,6 +690,9 @@
         )
         admitted.responder.abort()
         return
+    if quarantine_s is not None:
+        forwarder.fail_request(admitted, codes.Code.PROMPT_QUARANTINED, reason, quarantine_s)
+        return
     if too_late:
         # A retry cannot succeed, because no gateway can meet the deadline.
         forwarder.fail_request(admitted, codes.Code.WAIT_EXPIRED, reason)
--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -6,15 +6,18 @@
 """
 
 import asyncio
+import collections
 import secrets
 
 import expression
 
-from chiveswitch.core import clock, target_table
+from chiveswitch.core import clock, prompt_quarantine, target_table
 from chiveswitch.peers import strict
 
 hub_thrift = strict.load("hub.thrift")
 
+MS_PER_SECOND = 1000.0
+
 NODE_READY, NODE_DRAINING, NODE_GONE = range(3)
 RUN_ACTIVE, RUN_ENDED, RUN_INTERRUPTED = range(3)
 
@@ -31,7 +34,18 @@
 OVERDUE_INTERVALS = 2.5
 # Time for which an entry stays published after its last report. A loss is kept briefly, since a
 # node that reads it later would avoid a target that is healthy again.
-RETENTION_SECONDS_BY_KIND = {"targets": 60.0, "nodes": 30.0, "runs": 30.0, "losses": 0.6}
+RETENTION_SECONDS_BY_KIND = {
+    "targets": 60.0,
+    "nodes": 30.0,
+    "runs": 30.0,
+    "losses": 0.6,
+    "prompts": prompt_quarantine.EVIDENCE_SECONDS,
+}
+# Reports of prompts beyond this number replace the oldest ones.
+MAX_PROMPT_REPORTS = 1000
+OUTCOMES = frozenset(int(outcome) for outcome in prompt_quarantine.Outcome)
+# Shortest time between two published reports that responses with a part of a prompt begin.
+BEGINNING_INTERVAL_SECONDS = 0.5
 # Delay between a change and the answers to the waiting watches: BATCH_SECONDS_PER_NODE for each of
 # them, but at least BATCH_MIN_SECONDS and at most BATCH_MAX_SECONDS. Reports that arrive during the
 # delay share an answer, so that a hub's work for each report falls as the number of nodes grows.
@@ -117,6 +131,7 @@
         "_entry_by_key",
         "_watch_futures",
         "_announced_version_by_node",
+        "_prompt_keys",
         "_now",
         "_answer_timer",
     )
@@ -138,6 +153,8 @@
         self._entry_by_key = {}
         self._watch_futures = set()
         self._announced_version_by_node = {}
+        # Keys of prompt reports, the oldest one first.
+        self._prompt_keys = collections.deque()
         self._now = now
         self._answer_timer = None
 
@@ -204,6 +221,33 @@
         ):
             self._put(key, "losses", report)
 
+    def record_prompt_report(self, report):
+        """Records what happened to a prompt at an engine.
+
+        A crash is published once for each engine and request, and the beginning of responses with
+        the same part at intervals.
+
+        Args:
+            report: A PromptReport of `hub_thrift`, whose age is counted from now.
+        """
+        if not report.parts or report.outcome not in OUTCOMES:
+            return
+        happened_at = self._now() - report.age_ms / MS_PER_SECOND
+        if report.outcome == prompt_quarantine.Outcome.BEGAN:
+            key = ("prompts", *report.parts)
+            interval_s = BEGINNING_INTERVAL_SECONDS
+        else:
+            key = ("prompts", report.target_id, report.parts[-1])
+            interval_s = RETENTION_SECONDS_BY_KIND["prompts"]
+        stored = self._entry_by_key.get(key)
+        if stored is not None and happened_at - stored.last_report_at < interval_s:
+            return
+        self._prompt_keys.append(key)
+        if len(self._prompt_keys) > MAX_PROMPT_REPORTS:
+            self._entry_by_key.pop(self._prompt_keys.popleft(), None)
+        self._put(key, "prompts", report)
+        self._entry_by_key[key].last_report_at = happened_at
+
     def _put(self, key, kind, report):
         self.position += 1
         # The dict keeps the order of insertion, so that entries stay sorted by position.
@@ -341,6 +385,7 @@
             nodes=[],
             runs=[],
             losses=[],
+            prompts=None,
         )
         if watch.wants_bundle and published.version > watch.known_version:
             answer.content = published.content
@@ -351,9 +396,18 @@
         for entry in reversed(self._entry_by_key.values()):
             if entry.position <= position:
                 break
+            if entry.kind == "prompts":
+                # The field is missing if there are no such reports, as in earlier versions.
+                answer.prompts = answer.prompts or []
+                answer.prompts.append(self._aged_prompt_report(entry))
+                continue
             getattr(answer, entry.kind).append(entry.report)
         return answer
 
+    def _aged_prompt_report(self, entry):
+        age_ms = int((self._now() - entry.last_report_at) * MS_PER_SECOND)
+        return hub_thrift.PromptReport(**{**vars(entry.report), "age_ms": max(0, age_ms)})
+
 
 def to_table_report(record) -> target_table.Report:
     """Returns the `target_table.Report` of a TargetReport of `hub_thrift`."""
--- a/chiveswitch/peers/hub_test.py
+++ b/chiveswitch/peers/hub_test.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from chiveswitch.core import clock, target_table
+from chiveswitch.core import clock, prompt_quarantine, target_table
 from chiveswitch.peers import hub, strict
 
 thrift = hub.hub_thrift
@@ -244,3 +244,46 @@
     fixture.time = 1.0
     fixture.hub.sweep()
     assert fixture.hub._entry_by_key == {}
+
+
+def prompt_report(outcome, *parts, target="e1", age_ms=0):
+    return thrift.PromptReport(
+        outcome=int(outcome), parts=list(parts), target_id=target, age_ms=age_ms
+    )
+
+
+def test_reports_of_prompts_are_published_once_with_their_age():
+    # Guards against a node that counts old crashes as new ones after its restart, and against the
+    # same crash that is published again for each gateway that reports it.
+    async def scenario():
+        fixture = HubFixture()
+        first = await fixture.watch()
+        assert first.prompts is None
+        crashed = prompt_quarantine.Outcome.CRASHED_ANSWERING
+        for _ in range(2):
+            fixture.hub.record_prompt_report(prompt_report(crashed, "a", "b", age_ms=200))
+        fixture.hub.record_prompt_report(prompt_report(7, "a", "b"))
+        fixture.hub.record_prompt_report(prompt_report(crashed))
+        fixture.time = 3.0
+        answer = await fixture.watch(position=0, incarnation=first.hub_incarnation)
+        assert [(each.parts, each.age_ms) for each in answer.prompts] == [(["a", "b"], 3200)]
+
+    asyncio.run(scenario())
+
+
+def test_beginnings_of_one_part_are_published_at_intervals():
+    # Guards against a message to each node for each response with a common part.
+    fixture = HubFixture()
+    began = prompt_quarantine.Outcome.BEGAN
+    for step in range(100):
+        fixture.time = step * hub.BEGINNING_INTERVAL_SECONDS / 50
+        fixture.hub.record_prompt_report(prompt_report(began, "a", target=f"e{step}"))
+    assert len(fixture.changes) == 2
+
+
+def test_the_number_of_prompt_reports_is_bounded():
+    fixture = HubFixture()
+    crashed = prompt_quarantine.Outcome.CRASHED_WAITING
+    for number in range(hub.MAX_PROMPT_REPORTS + 10):
+        fixture.hub.record_prompt_report(prompt_report(crashed, "a", f"r{number}"))
+    assert len(fixture.hub._entry_by_key) == hub.MAX_PROMPT_REPORTS
--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -16,6 +16,9 @@
 REACHABLE_SECONDS = 2.0
 # Time after which one more hub is asked for a newer bundle that has not arrived.
 BUNDLE_TIMEOUT_SECONDS = 0.3
+# Time to wait for a hub's acknowledgement of reports of prompts, and number of hubs that are tried.
+PROMPT_REPORT_TIMEOUT_SECONDS = 0.3
+MAX_PROMPT_REPORT_ATTEMPTS = 10
 # Reports of runs and losses are collected for this time and sent together.
 REPORT_BATCH_SECONDS = 0.02
 
@@ -95,9 +98,10 @@
         Args:
             view: The node's view: `node_report()` returns the own NodeReport, `known_version()` the
                 version of the bundle, and `apply_target_reports`, `apply_node_reports`,
-                `apply_run_reports`, `apply_loss_reports`, `apply_bundle`, `discard_hub_reports`
-                and `log_hub_state` apply what was received; `log_watch_timeout`,
-                `log_bundle_announced` and `log_bundle_requested` log the watches.
+                `apply_run_reports`, `apply_loss_reports`, `apply_prompt_reports`, `apply_bundle`,
+                `discard_hub_reports` and `log_hub_state` apply what was received;
+                `log_watch_timeout`, `log_bundle_announced` and `log_bundle_requested` log the
+                watches.
             seeds: Peer addresses from the settings, watched until the members are known.
             own_address: Own peer address, which is not watched.
             rng: Random source.
@@ -153,6 +157,31 @@
         self._queued_losses.append(report)
         self._schedule_reports()
 
+    async def report_prompts(self, reports: list):
+        """Sends reports of prompts until a hub has acknowledged them.
+
+        Args:
+            reports: List of PromptReport of `hub_thrift`.
+        """
+        sent_at = clock.now()
+        for _ in range(MAX_PROMPT_REPORT_ATTEMPTS):
+            states = self.reachable_hubs()
+            if not states:
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                continue
+            age_ms = int((clock.now() - sent_at) * hub.MS_PER_SECOND)
+            aged_reports = [
+                hub_thrift.PromptReport(**{**vars(each), "age_ms": each.age_ms + age_ms})
+                for each in reports
+            ]
+            result = await self._rng.choice(states).link.call(
+                kinds.Kind.HUB_REPORT_PROMPTS,
+                strict.encode(hub_thrift.PromptReports(reports=aged_reports)),
+                PROMPT_REPORT_TIMEOUT_SECONDS,
+            )
+            if result.is_ok():
+                return
+
     def _schedule_reports(self):
         if self._report_timer is None:
             self._report_timer = asyncio.get_running_loop().call_later(
@@ -303,4 +332,5 @@
         self._view.apply_node_reports(state.address, reversed(answer.nodes))
         self._view.apply_run_reports(reversed(answer.runs))
         self._view.apply_loss_reports(reversed(answer.losses))
+        self._view.apply_prompt_reports(reversed(answer.prompts or []))
         self.update_members(hub.Members(answer.members_index, answer.hubs))
--- a/chiveswitch/peers/kinds.py
+++ b/chiveswitch/peers/kinds.py
@@ -19,3 +19,4 @@
     HUB_WATCH = 50
     HUB_REPORT = 51
     HUB_REPORT_RUNS = 52
+    HUB_REPORT_PROMPTS = 53
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -11,6 +11,7 @@
 # The parts of the prompt in order, as id:tokens. The last part belongs to the request or session
 # alone.
 PROMPT_PREFIX = "x-prompt-prefix"
+MODEL = "x-model"
 LAST_EVENT_ID = "Last-Event-Id"
 # A worker's id identifies one start of the worker, not an address.
 EXPECT_INSTANCE = "X-Expect-Instance"
@@ -101,9 +102,11 @@
         if len(usage) == 2:
             caller.prompt_tokens = int(_parse_number(usage[0]) or 0)
             caller.max_response_tokens = int(_parse_number(usage[1]) or 0)
-        for part in value_by_header.get(PROMPT_PREFIX, "").split(","):
-            caller.prompt_parts.append(part.partition(":")[0].strip())
-        caller.session = caller.prompt_parts[-1]
+        caller.model = value_by_header.get(MODEL, "")
+        if PROMPT_PREFIX in value_by_header:
+            for part in value_by_header[PROMPT_PREFIX].split(","):
+                caller.prompt_parts.append(part.partition(":")[0].strip())
+            caller.session = caller.prompt_parts[-1]
         connection_headers = set()
         for name in value_by_header.get("connection", "").lower().split(","):
             connection_headers.add(name.strip())
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -22,6 +22,7 @@
     control_state,
     decision_log,
     metrics,
+    prompt_quarantine,
     routing,
     target_table,
 )
@@ -163,6 +164,8 @@
             self.view, settings.seeds, settings.peer_address, self._rng
         )
         self.view.watcher = self.watcher
+        self.view.on_prompt_report = self._on_prompt_report
+        self.forwarder.report_prompt = self._report_prompt
         self.hub = hub.Hub(
             settings.heartbeat_s,
             self._current_members,
@@ -295,6 +298,7 @@
             kinds.Kind.HUB_WATCH: self.hub.serve_watch,
             kinds.Kind.HUB_REPORT: self._serve_report,
             kinds.Kind.HUB_REPORT_RUNS: self._serve_runs,
+            kinds.Kind.HUB_REPORT_PROMPTS: self._serve_prompts,
         }
         host, _, port = settings.peer_address.rpartition(":")
         if not settings.data_folder:
@@ -323,6 +327,7 @@
         gauges["requests_open"] = self._caller_server.busy_count
         gauges["log_lines_dropped"] = lambda: self.log.dropped
         gauges["hubs_reachable"] = lambda: len(self.watcher.reachable_hubs())
+        gauges["prompts_in_quarantine"] = self.forwarder.quarantine.held_count
         gauges["stream_moves_false"] = lambda: self.forwarder.detector.false_moves
 
     def _api_handler(self, listener):
@@ -403,6 +408,9 @@
         if kind == "runs":
             self.view.apply_run_reports([entry.report])
             return
+        if kind == "prompts":
+            self.view.apply_prompt_reports([entry.report])
+            return
         self.view.apply_loss_reports([entry.report])
 
     def _on_target_removed(self, target_id):
@@ -435,6 +443,28 @@
             return
         self.watcher.report_loss(report)
 
+    def _report_prompt(self, report):
+        wire_report = hub.hub_thrift.PromptReport(
+            outcome=int(report.outcome),
+            parts=report.parts,
+            target_id=report.target_id,
+            age_ms=int((clock.now() - report.at) * hub.MS_PER_SECOND),
+        )
+        if self._is_member():
+            self.hub.record_prompt_report(wire_report)
+            return
+        self.forwarder.spawn(self.watcher.report_prompts([wire_report]))
+
+    def _on_prompt_report(self, wire_report):
+        self.forwarder.apply_prompt_report(
+            prompt_quarantine.Report(
+                prompt_quarantine.Outcome(wire_report.outcome),
+                wire_report.parts,
+                clock.now() - wire_report.age_ms / hub.MS_PER_SECOND,
+                wire_report.target_id,
+            )
+        )
+
     async def _sweep_periodically(self):
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
@@ -442,7 +472,10 @@
             self.table.sweep(self.view.live_hubs(), now)
             self.forwarder.run_table.sweep(now)
             self.forwarder.pool.close_stale_channels()
-            self.forwarder.retry_budgets.gateway_count = max(1, len(self.view.ready_nodes()))
+            gateway_count = max(1, len(self.view.ready_nodes()))
+            self.forwarder.retry_budgets.gateway_count = gateway_count
+            self.forwarder.quarantine.gateway_count = gateway_count
+            self.forwarder.quarantine.sweep(now)
             self._update_state()
             self._update_members()
 
@@ -525,6 +558,16 @@
             self.hub.record_watch_reports(decoded.ok)
         return expression.Ok(b"")
 
+    def _serve_prompts(self, payload, _trace):
+        decoded = strict.decode(hub.hub_thrift.PromptReports, payload)
+        if decoded.is_error():
+            return decoded
+        if not self._is_member():
+            return codes.failure(codes.Code.NOT_LEADER, "This node is no hub.")
+        for report in decoded.ok.reports:
+            self.hub.record_prompt_report(report)
+        return expression.Ok(b"")
+
     # Requests of operators.
 
     async def publish(self, bundle: routing.RouteBundle, actor: str) -> expression.Result:
--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -551,6 +551,53 @@
     run_with_cluster(tmp_path, scenario)
 
 
+async def stream_prompt(cluster, number, request_id, *parts):
+    """Sends a stream whose prompt has the given parts to a node and returns the answer."""
+    prompt = ",".join(f"{part}:100" for part in parts)
+    fields = platform_standins.stream_headers(request_id, **{"X-Prompt-Prefix": prompt})
+    address = cluster.address(number, "front")
+    return await platform_standins.send_request(address, "POST", "/s/x", fields)
+
+
+async def wait_for_log(cluster, number, text):
+    """Waits until a node has logged a text."""
+    await platform_standins.wait_until(lambda: text in cluster.log(number))
+
+
+def test_all_nodes_refuse_a_prompt_that_has_crashed_engines_of_others(tmp_path):
+    # Guards against gateways that do not know what crashed the engines of the others, also after
+    # their own restart, so that each of them sends such prompts until its own engines crash.
+    async def scenario(cluster, fleet):
+        engines = [worker for worker in fleet.workers if worker.worker_id.startswith("e")]
+        for engine in engines:
+            engine.crashing_parts = {"bad"}
+        for number in range(2):
+            await stream_prompt(cluster, number, f"r{number}", "aa", "bad", f"b{number}")
+            # The crashed engines listen again.
+            await asyncio.sleep(1.0)
+        crash_count = sum(engine.crash_count for engine in engines)
+        assert 3 <= crash_count <= 4
+        for number in (2, 3):
+            await wait_for_log(cluster, number, "held=m:bad")
+        cluster.signal(3, signal.SIGKILL)
+        cluster.wait(3)
+        text_before = len(cluster.log(3))
+        cluster.start(3)
+        await platform_standins.wait_until(
+            lambda: "held=m:bad" in cluster.log(3)[text_before:], 15.0
+        )
+        await wait_ready(cluster, [3])
+        for number in (2, 3):
+            answer = await stream_prompt(cluster, number, f"s{number}", "aa", "bad", f"c{number}")
+            assert answer.status == 503
+            assert answer.value_by_header["x-chiveswitch-code"] == "3010"
+            sound = await stream_prompt(cluster, number, f"t{number}", "aa", f"d{number}")
+            assert sound.event_ids() == list(range(12))
+        assert sum(engine.crash_count for engine in engines) == crash_count
+
+    run_with_cluster(tmp_path, scenario)
+
+
 def test_a_preempted_stream_delivers_each_event_once(tmp_path):
     # Guards against lost or repeated events when an engine preempts a request, which frees its
     # memory and reads its prompt again later, and against a second run of it in the meantime.
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -42,6 +42,7 @@
         state: Own state, `hub.NODE_READY` or `hub.NODE_DRAINING`.
         published: `hub.PublishedBundle` with the bundle in force, of the highest version received.
         on_bundle: Called with each new `routing.RouteBundle`.
+        on_prompt_report: Called with each received PromptReport of `hub_thrift`.
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         "state",
         "published",
         "on_bundle",
+        "on_prompt_report",
         "_settings",
         "_incarnation",
         "_table",
@@ -64,6 +66,7 @@
         self.state = hub.NODE_DRAINING
         self.published = hub.PublishedBundle()
         self.on_bundle = on_bundle
+        self.on_prompt_report = lambda report: None
         self._settings = settings
         self._incarnation = incarnation
         self._table = table
@@ -193,6 +196,11 @@
                     "node", "target_avoided", target=report.target_id, reporter=report.node
                 )
 
+    def apply_prompt_reports(self, reports):
+        """Passes reports of prompts on to `on_prompt_report`."""
+        for report in reports:
+            self.on_prompt_report(report)
+
     def discard_hub_reports(self, hub_address: str):
         """Discards all reports of a hub that has restarted or is no longer watched."""
         self._table.reset_hub(hub_address)
--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -32,6 +32,9 @@
         event_seconds: Pause before each event, in seconds.
         cut_after: Number of the event in the middle of which the connection is reset, or None.
         silent_after: Number of the event before which the stream stalls for 60 s, or None.
+        crashing_parts: Parts of prompts on which it crashes after the head of the response.
+        crash_count: Number of these crashes.
+        restart_seconds: Seconds from a crash until it listens again.
         batch: `engine_batch.Batch` that paces its streams instead of `event_seconds`, or None.
     """
 
@@ -48,10 +51,14 @@
         self.event_seconds = 0.01
         self.cut_after = None
         self.silent_after = None
+        self.crashing_parts = set()
+        self.crash_count = 0
+        self.restart_seconds = 0.5
         self.batch = None
         self._worker_by_address = worker_by_address
         worker_by_address[address] = self
         self._server = http_server.Server(self._handle)
+        self._restart = None
 
     async def start(self):
         """Starts to listen."""
@@ -59,10 +66,21 @@
 
     async def stop(self):
         """Resets all connections and stops listening, as a crash would."""
+        if self._restart is not None:
+            self._restart.cancel()
         for connection in list(self._server.connections):
             connection.abort()
         await self._server.close()
 
+    async def crash(self):
+        """Resets all connections, and listens again after `restart_seconds`."""
+        self.crash_count += 1
+        await self.stop()
+        self._server = http_server.Server(self._handle)
+        self._restart = asyncio.get_running_loop().call_later(
+            self.restart_seconds, lambda: asyncio.ensure_future(self.start())
+        )
+
     def heartbeat(self, service: str, zone: str, sequence: int, state: str = "ready") -> bytes:
         """Returns the body of a heartbeat request."""
         return orjson.dumps(
@@ -141,6 +159,12 @@
         first = int(headers.get("last-event-id", "-1")) + 1
         holder = self._worker_by_address.get(headers.get("x-kv-backup", ""))
         responder.begin(200, self._response_headers(request_id))
+        parts = headers.get("x-prompt-prefix", "").split(",")
+        if self.crashing_parts.intersection(part.partition(":")[0] for part in parts):
+            await asyncio.sleep(self.event_seconds)
+            # The crash ends this task as well.
+            asyncio.get_running_loop().create_task(self.crash())
+            await asyncio.sleep(60)
         for number in range(first, self.events):
             if batch_request is None:
                 await asyncio.sleep(self.event_seconds)
