Keep watching a hub after an answer that cannot be applied

An error in the application of one answer ended the task of the watch without a log line, so that the node never heard of this hub again. The error is logged now, and the watch goes on after a pause. The test fails on the code before.

--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -1,11 +1,14 @@
 """A node's watches: one task for each hub updates the node's view of targets, nodes and routes."""
 
 import asyncio
+import logging
 import random
 
 from chiveswitch.core import clock, codes
 from chiveswitch.peers import hub, kinds, links, strict
 
+log = logging.getLogger("chiveswitch.peers")
+
 hub_thrift = hub.hub_thrift
 
 # Time to wait for an answer beyond the time for which a hub may hold a watch.
@@ -284,7 +287,13 @@
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
                 continue
             answer = result.ok
-            self._apply_answer(state, answer)
+            try:
+                self._apply_answer(state, answer)
+            # The watch is the only task that hears of this hub and must not end.
+            except Exception:
+                log.exception("peers: an answer of %s could not be applied", state.address)
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                continue
             is_refused = answer.content and answer.version > self._view.known_version()
             if not state.is_hub or is_refused:
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
--- a/chiveswitch/peers/hub_watch_test.py
+++ b/chiveswitch/peers/hub_watch_test.py
@@ -212,3 +212,18 @@
         assert len(current.watches) - started <= 5
 
     asyncio.run(scenario())
+
+
+def test_a_watch_goes_on_after_an_answer_that_cannot_be_applied():
+    # Guards against a node that never hears of a hub again, because an error in the application of
+    # one answer has ended the task of the watch.
+    async def scenario():
+        current = ScriptedHub(version=5, pause_s=0.05)
+        view = View(5, current.address)
+        view.apply_target_reports = unittest.mock.Mock(side_effect=RuntimeError("a fault"))
+        async with watching(view, [current]):
+            await platform_standins.wait_until(lambda: view.apply_target_reports.called)
+            current.version = 9
+            await platform_standins.wait_until(lambda: view.version == 9)
+
+    asyncio.run(scenario())
