Test responses that end with their connection, for calls, streams and copies

The users' workers may answer with neither a length nor chunks. A call, a rejection and the response to a requested copy are complete when the target closes the connection, and broken off when it resets it; a stream that ends inside an event, or with a reset, continues at another engine after its last whole event.

--- a/chiveswitch/forwarding/endless_bytes_test.py
+++ b/chiveswitch/forwarding/endless_bytes_test.py
@@ -36,12 +36,14 @@
         worker: Stand-in that only provides the heartbeat.
         sent_bytes: Number of bytes that were written so far.
         request_count: Number of requests that arrived.
+        makes_copies: Whether the function also answers requests for copies; else they get 404.
     """
 
-    def __init__(self, worker_id, write_answer):
+    def __init__(self, worker_id, write_answer, makes_copies=False):
         self.worker = platform_standins.Worker(worker_id, f"127.0.0.1:{processes.free_port()}", {})
         self.sent_bytes = 0
         self.request_count = 0
+        self.makes_copies = makes_copies
         self._write_answer = write_answer
         self._server = None
 
@@ -71,7 +73,7 @@
                     if name.lower() == b"x-request-id":
                         request_id = value.strip()
                 await reader.readexactly(length)
-                if b"/kv-move" in head:
+                if b"/kv-move" in head and not self.makes_copies:
                     writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
                     continue
                 self.request_count += 1
