--- a/chiveswitch/core/prompt_quarantine.py
+++ b/chiveswitch/core/prompt_quarantine.py
@@ -37,6 +37,8 @@
 MAX_SUSPECTS = 1024
 MAX_SOUND_PARTS = 4096
 MAX_PROMPT_PARTS = 32
+# Longest text of the parts of a prompt in a log line.
+MAX_LOGGED_LENGTH = 300
 # Limit of the crashes that are remembered for one part.
 MAX_CRASHES = 32
 
@@ -61,6 +63,11 @@
 INCIDENT_SECONDS_BY_OUTCOME = {Outcome.CRASHED_WAITING: 0.5, Outcome.CRASHED_ANSWERING: 0.1}
 
 
+def format_parts(parts: list) -> str:
+    """Returns the keys of parts for a log line; a long list is cut."""
+    return ",".join(parts)[:MAX_LOGGED_LENGTH]
+
+
 class Report:
     """What happened to a prompt at an engine.
 
@@ -257,7 +264,9 @@
         held_parts = [part for part in parts if self._is_held(part)]
         new_parts = [part for part in parts if part not in self._suspect_by_part]
         for part in held_parts or parts:
-            self._find_or_add(part).add_crash(report, now)
+            # Reports that came through different hubs may arrive in another order.
+            if self._began_at_by_part.get(part, report.at) <= report.at:
+                self._find_or_add(part).add_crash(report, now)
         if held_parts:
             for part in held_parts:
                 self._end_trial(part, parts, report.at, now)
@@ -321,7 +330,9 @@
         """Returns the part that most probably crashed an engine, or None if that is not certain."""
         culprit, best_rank = None, None
         for position, part in enumerate(parts[:-1]):
-            suspect = self._suspect_by_part[part]
+            suspect = self._suspect_by_part.get(part)
+            if suspect is None:
+                continue
             began_at = self._began_at_by_part.get(part)
             is_sound = began_at is not None and suspect.crashes[0].at - began_at < SOUND_SECONDS
             needed_weight = SOUND_PART_WEIGHT if is_sound else SHARED_PART_WEIGHT
@@ -334,7 +345,10 @@
                 culprit, best_rank = part, rank
         if culprit is not None:
             return culprit
-        if self._suspect_by_part[parts[-1]].answering_engine_count() >= LAST_PART_ENGINES:
+        last_suspect = self._suspect_by_part.get(parts[-1])
+        if last_suspect is not None and (
+            last_suspect.answering_engine_count() >= LAST_PART_ENGINES
+        ):
             return parts[-1]
         return None
 
--- a/chiveswitch/core/prompt_quarantine_test.py
+++ b/chiveswitch/core/prompt_quarantine_test.py
@@ -108,6 +108,15 @@
     assert gateway.held == []
 
 
+def test_a_crash_that_is_reported_after_a_later_beginning_does_not_count():
+    # Guards against crashes that arrive late, because reports come through several hubs.
+    gateway = Gateway()
+    for number in range(6):
+        gateway.begin_elsewhere("first", gateway.now + 2.0)
+        gateway.crash("first", f"r{number}")
+    assert gateway.held == []
+
+
 def test_a_part_whose_responses_began_before_is_suspected_last():
     # Guards against the quarantine of a common part behind the one that crashes engines, if no
     # response with the common part begins between the crashes.
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -262,7 +262,7 @@
             "prompt_reported",
             outcome=report.outcome.name.lower(),
             target=report.target_id,
-            parts=",".join(report.parts),
+            parts=prompt_quarantine.format_parts(report.parts),
         )
         self.metrics.count(f"prompts_{report.outcome.name.lower()}")
         self.report_prompt(report)
@@ -301,7 +301,7 @@
             engines=",".join(sorted(engines)),
             first=suspect.held_since - suspect.crashes[0].at,
             seconds=suspect.held_until - suspect.held_since,
-            prompt=",".join(parts),
+            prompt=prompt_quarantine.format_parts(parts),
         )
         for stream in list(self.starting_streams):
             stream.cancel_start(part)
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -667,7 +667,7 @@
             from_copy=from_copy,
             events=stream.delivered_count,
             answering=int(channel.response.status > 0),
-            parts=",".join(stream.parts),
+            parts=prompt_quarantine.format_parts(stream.parts),
             left=admitted.remaining_s(),
         )
         may_continue = admitted.route.resumable or end == AttemptEnd.REJECTED
--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -242,7 +242,8 @@
         stored = self._entry_by_key.get(key)
         if stored is not None and happened_at - stored.last_report_at < interval_s:
             return
-        self._prompt_keys.append(key)
+        if stored is None:
+            self._prompt_keys.append(key)
         if len(self._prompt_keys) > MAX_PROMPT_REPORTS:
             self._entry_by_key.pop(self._prompt_keys.popleft(), None)
         self._put(key, "prompts", report)
