Refuse calls whose prompt crashes targets, too

Prompts of calls were not covered: a call with a part that crashes targets was sent to as many targets as its route permits, and each new one began anew. A call has no head that arrives before its response, so that each crash is weak evidence; crashes of one request count each, also in quick succession. The test crashed all targets before. The keys of a prompt's parts are a field of the admitted request now, and the report after a check stands once for streams and calls.

--- a/chiveswitch/core/prompt_quarantine.py
+++ b/chiveswitch/core/prompt_quarantine.py
@@ -1,7 +1,7 @@
 """Quarantine of prompts that crash engines, known as queries of death.
 
 A part of a prompt may crash every engine that begins to answer it. Gateways report each engine that
-crashed before the first event of a response, with the parts of the prompt, and the parts whose
+crashed when it was about to begin a response, with the parts of the prompt, and the parts whose
 responses have begun since. Each gateway gets the reports of all, and refuses prompts with a part
 that is sufficiently suspect: crashes at different times, of requests that have only this part in
 common, and no response with it. A quarantine ends after a while with a trial at one gateway after
@@ -37,6 +37,8 @@
 MAX_SUSPECTS = 1024
 MAX_SOUND_PARTS = 4096
 MAX_PROMPT_PARTS = 32
+# Longest key of a part.
+MAX_KEY_LENGTH = 80
 # Longest text of the parts of a prompt in a log line.
 MAX_LOGGED_LENGTH = 300
 # Limit of the crashes that are remembered for one part.
@@ -46,9 +48,9 @@
 class Outcome(enum.IntEnum):
     """What a gateway reports of a prompt.
 
-    CRASHED_WAITING: the engine crashed before it began to answer.
-    CRASHED_ANSWERING: the engine crashed after the head of its response and before an event.
-    BEGAN: the engine has sent events of its response.
+    CRASHED_WAITING: the engine crashed before the head of its response.
+    CRASHED_ANSWERING: the engine crashed between the head and the first events of its response.
+    BEGAN: the engine has sent the first events of its response.
     """
 
     CRASHED_WAITING = 0
@@ -63,6 +65,16 @@
 INCIDENT_SECONDS_BY_OUTCOME = {Outcome.CRASHED_WAITING: 0.5, Outcome.CRASHED_ANSWERING: 0.1}
 
 
+def part_keys(model: str, parts: list) -> list:
+    """Returns the keys of the parts of a prompt, since the same text may crash one model only.
+
+    Parts in the middle of a very long list are left out.
+    """
+    if len(parts) > MAX_PROMPT_PARTS:
+        parts = [*parts[: MAX_PROMPT_PARTS - 1], parts[-1]]
+    return [f"{model}:{part}"[:MAX_KEY_LENGTH] for part in parts]
+
+
 def format_parts(parts: list) -> str:
     """Returns the keys of parts for a log line; a long list is cut."""
     return ",".join(parts)[:MAX_LOGGED_LENGTH]
@@ -139,13 +151,13 @@
             elif weight > counted_weight:
                 total += weight - counted_weight
                 counted_weight = weight
-        targets_by_request = {}
+        weights_by_request = {}
         for crash in self.crashes:
-            if crash.outcome == Outcome.CRASHED_ANSWERING:
-                targets_by_request.setdefault(crash.parts[-1], set()).add(crash.target_id)
+            weight = WEIGHT_BY_OUTCOME[crash.outcome]
+            weights_by_request.setdefault(crash.parts[-1], []).append(weight)
         # A request is sent again only after a crash, so that its crashes are no single event.
-        repeated = [len(targets) for targets in targets_by_request.values() if len(targets) > 1]
-        return max(total, float(sum(repeated)))
+        repeated = [sum(weights) for weights in weights_by_request.values() if len(weights) > 1]
+        return max(total, sum(repeated))
 
     def request_count(self) -> int:
         """Returns the number of requests or sessions whose prompts had the part."""
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -40,6 +40,12 @@
     run_count = 0
     reason = "no target"
     while admitted.remaining_s() > forwarding.RESPONSE_MARGIN_SECONDS:
+        held = forwarder.quarantine.find_held(admitted.parts, clock.now())
+        if held is not None:
+            held_part, quarantine_s = held
+            reason = f"{held_part} crashes engines"
+            forwarder.fail_request(admitted, codes.Code.PROMPT_QUARANTINED, reason, quarantine_s)
+            return
         targets = forwarder.target_table.ready_targets(admitted.service.name)
         untried = [each for each in targets if each.target_id not in excluded_ids]
         target = placement.choose_target(untried, forwarder.zone, clock.now(), forwarder.rng)
@@ -172,11 +178,14 @@
         target.open_requests -= 1
     now = clock.now()
     if response is None:
+        is_broken = bool(channel.failure_reason)
         reason = channel.failure_reason or f"no response in {attempt_timeout_s:.3f} s"
         channel.abort()
         target.record_outcome(True, now - started)
-        if not channel.response.status:
-            forwarder.check_target(target)
+        if is_broken or not channel.response.status:
+            check = forwarder.check_target(target)
+            if is_broken:
+                await forwarder.report_crash_if_lost(admitted, target, check, channel)
         return SendOutcome(None, False, reason)
     is_failure = response.status >= 500
     is_match = channel.matches_request(admitted.caller.request_id)
@@ -197,6 +206,7 @@
             False,
             f"answered {response.status} for another request or without a clear outcome",
         )
+    forwarder.record_beginning(admitted.parts, target)
     target.record_outcome(is_failure, now - started)
     return SendOutcome(response, False, f"answered {response.status}")
 
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -62,6 +62,7 @@
         service: Its `routing.Service`.
         account: Name of its client account, or None.
         deadline: Time by which the request must be answered, in seconds of `core.clock`.
+        parts: Keys of the parts of its prompt; see `prompt_quarantine.part_keys`.
         send_count: Number of times that the request was sent to a target.
         may_have_run: Whether a target may have run it.
     """
@@ -75,6 +76,7 @@
         "service",
         "account",
         "deadline",
+        "parts",
         "send_count",
         "may_have_run",
     )
@@ -88,6 +90,7 @@
         self.service = service
         self.account = account
         self.deadline = deadline
+        self.parts = prompt_quarantine.part_keys(caller.model, caller.prompt_parts)
         self.send_count = 0
         self.may_have_run = False
 
@@ -249,12 +252,30 @@
         self.log.line("gateway", "target_checked", target=target.target_id, lost=int(not reachable))
         return reachable
 
-    def report_crash(self, report: prompt_quarantine.Report):
-        """Records the crash of an engine that had a prompt, and tells the other gateways.
+    async def report_crash_if_lost(self, admitted: AdmittedRequest, target, check, channel):
+        """Reports a crash if an engine accepts no connections after the one to it broke.
 
         Args:
-            report: The report with the outcome and the parts of the prompt.
+            admitted: The request, which the engine had not begun to answer.
+            target: The engine.
+            check: Task of `check_target`.
+            channel: Channel to the engine that broke.
         """
+        if not admitted.parts:
+            return
+        outcome = prompt_quarantine.Outcome.CRASHED_WAITING
+        if channel.response.status == 200:
+            outcome = prompt_quarantine.Outcome.CRASHED_ANSWERING
+        report = prompt_quarantine.Report(outcome, admitted.parts, clock.now(), target.target_id)
+
+        async def report_after_check():
+            if not await check:
+                self._report_crash(report)
+
+        # The other gateways need the report even if the caller leaves now.
+        await asyncio.shield(self.spawn(report_after_check()))
+
+    def _report_crash(self, report):
         if self.target_table.is_draining_or_gone(report.target_id):
             return
         self.log.line(
--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -663,6 +663,26 @@
     assert "gateway: prompt_held" in text and "held=m:bad" in text
 
 
+def test_calls_with_a_part_that_crashes_targets_are_refused(tmp_path):
+    # Guards against prompts of calls without a stream, which crash targets in the same way.
+    async def scenario(fixture):
+        for number in range(10):
+            worker = await fixture.add(f"w{number}", "plain", "a")
+            worker.crashing_parts = {"bad"}
+            worker.restart_seconds = 60.0
+        for number in range(8):
+            answer = await call(
+                fixture, f"r{number}", "/r/x", "GET", b"", **prompt("aa", "bad", f"b{number}")
+            )
+        assert answer.value_by_header["x-chiveswitch-code"] == "3010"
+        # Calls wait at a crashed target without the head of a response.
+        assert sum(worker.crash_count for worker in fixture.workers.values()) <= 7
+        sound = await call(fixture, "s", "/r/x", "GET", b"", **prompt("aa", "c"))
+        assert sound.status == 200
+
+    run(scenario, tmp_path)
+
+
 def test_a_request_that_waits_is_given_up_when_its_prompt_is_found_to_crash_engines(tmp_path):
     # Guards against the crash of engines that already have requests with a part, when this part is
     # found to crash engines.
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -38,10 +38,8 @@
 FAILOVER_FACTOR_WITHOUT_COPY = 3.0
 # Gap objective in seconds of routes that state none.
 DEFAULT_GAP_OBJECTIVE_SECONDS = 1.0
-# Events after which an engine has begun to answer a prompt without a crash.
+# Events after which a crash of the engine says nothing about the prompt any more.
 BEGUN_EVENTS = 3
-# Longest key of a part of a prompt.
-MAX_PART_LENGTH = 80
 # Rejections by engines after which a stream is refused. Each rejection costs a round trip. Each
 # round in which all engines were tried counts as one, too.
 MAX_REJECTIONS = 4
@@ -73,17 +71,6 @@
     QUARANTINED = enum.auto()
 
 
-def part_keys(caller) -> list:
-    """Returns the keys under which the parts of a caller's prompt are reported.
-
-    The same text may crash one model only. Parts in the middle of a very long list are left out.
-    """
-    parts = caller.prompt_parts
-    if len(parts) > prompt_quarantine.MAX_PROMPT_PARTS:
-        parts = [*parts[: prompt_quarantine.MAX_PROMPT_PARTS - 1], parts[-1]]
-    return [f"{caller.model}:{part}"[:MAX_PART_LENGTH] for part in parts]
-
-
 class ForwardedStream:
     """One caller's stream while it is forwarded.
 
@@ -102,7 +89,6 @@
         is_delivered: Whether the caller has the whole response.
         is_last_run: Whether the present attempt is the last one that the route permits.
         copy_manager: `copies.CopyManager` of the run.
-        parts: Keys of the prompt's parts; see `part_keys`.
         attempt_event_count: Number of events that the present engine has sent.
         channel: Channel of the present attempt, or None.
         quarantined_part: Part for which the present attempt is given up, or an empty string.
@@ -123,7 +109,6 @@
         "is_delivered",
         "is_last_run",
         "copy_manager",
-        "parts",
         "attempt_event_count",
         "channel",
         "quarantined_part",
@@ -154,40 +139,21 @@
         self.is_delivered = False
         self.is_last_run = False
         self.copy_manager = copies.CopyManager(forwarder, admitted, self.run, self.publish_run)
-        self.parts = part_keys(caller)
         self.attempt_event_count = 0
         self.channel = None
         self.quarantined_part = ""
 
     @property
-    def has_begun(self) -> bool:
-        """Whether some engine has begun to answer the prompt without a crash."""
+    def is_past_start(self) -> bool:
+        """Whether some engine has sent the first events of the response without a crash."""
         return self.buffer.last_id is not None and self.buffer.last_id + 1 >= BEGUN_EVENTS
 
     def cancel_start(self, part: str):
         """Gives up the present attempt if its prompt contains a part that crashes engines."""
-        if part in self.parts and not self.has_begun:
+        if part in self.admitted.parts and not self.is_past_start:
             self.quarantined_part = part
             self.channel.wake_waiter()
 
-    async def report_crash_if_lost(self, check, target, is_answering: bool):
-        """Reports a crash if an engine accepts no connections after its connection broke.
-
-        Args:
-            check: Task of `forwarder.Forwarder.check_target`.
-            target: The engine, which had sent no event of this stream.
-            is_answering: Whether the head of its response had arrived.
-        """
-        crashed_at = clock.now()
-        if await check:
-            return
-        outcome = prompt_quarantine.Outcome.CRASHED_WAITING
-        if is_answering:
-            outcome = prompt_quarantine.Outcome.CRASHED_ANSWERING
-        self.forwarder.report_crash(
-            prompt_quarantine.Report(outcome, self.parts, crashed_at, target.target_id)
-        )
-
     def least_remaining_s(self) -> float:
         """Returns the least seconds in which an engine without the run's memory can finish."""
         admitted, engine = self.admitted, self.admitted.service.engine
@@ -436,7 +402,7 @@
         )
         if before < BEGUN_EVENTS <= self.attempt_event_count:
             self.forwarder.starting_streams.discard(self)
-            self.forwarder.record_beginning(self.parts, target)
+            self.forwarder.record_beginning(self.admitted.parts, target)
 
     def silence_limits(self, interval_estimate, got_events, probe_succeeded) -> tuple[float, float]:
         """Returns the seconds of silence after which to fail over, and after which to probe.
@@ -507,7 +473,7 @@
         self.begin_response(channel).finish()
         self.is_delivered = True
         if self.attempt_event_count < BEGUN_EVENTS:
-            self.forwarder.record_beginning(self.parts, target)
+            self.forwarder.record_beginning(self.admitted.parts, target)
         target.record_outcome(False, clock.now() - self.admitted.request.received_at)
         self.observe_pace()
         self.forwarder.pool.release(channel)
@@ -591,10 +557,11 @@
     quarantine_s = None
     reason = "no target"
     while admitted.remaining_s() > 0:
-        if not stream.has_begun:
-            held = forwarder.quarantine.find_held(stream.parts, clock.now())
+        if not stream.is_past_start:
+            held = forwarder.quarantine.find_held(admitted.parts, clock.now())
             if held is not None:
-                reason, quarantine_s = f"{held[0]} crashes engines", held[1]
+                held_part, quarantine_s = held
+                reason = f"{held_part} crashes engines"
                 break
         least_s = 0.0 if stream.resumes_from_copy else stream.least_remaining_s()
         if admitted.remaining_s() < least_s:
@@ -642,12 +609,8 @@
                 forwarder.target_table.record_loss(target, now)
             elif end == AttemptEnd.DISCONNECTED:
                 check = forwarder.check_target(target)
-                if stream.parts and not stream.has_begun:
-                    # The next attempt depends on the outcome, which the other gateways need even
-                    # if the caller leaves.
-                    is_answering = channel.response.status == 200
-                    reporting = stream.report_crash_if_lost(check, target, is_answering)
-                    await asyncio.shield(forwarder.spawn(reporting))
+                if not stream.is_past_start:
+                    await forwarder.report_crash_if_lost(admitted, target, check, channel)
             if end != AttemptEnd.EXPIRED:
                 target.record_outcome(True, 0.0)
             stream.excluded_ids = {target.target_id}
@@ -667,7 +630,7 @@
             from_copy=from_copy,
             events=stream.delivered_count,
             answering=int(channel.response.status > 0),
-            parts=prompt_quarantine.format_parts(stream.parts),
+            parts=prompt_quarantine.format_parts(admitted.parts),
             left=admitted.remaining_s(),
         )
         may_continue = admitted.route.resumable or end == AttemptEnd.REJECTED
--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -184,6 +184,7 @@
             )
             if result.is_ok():
                 return
+        log.warning("peers: no hub acknowledged %s reports of prompts", len(reports))
 
     def _schedule_reports(self):
         if self._report_timer is None:
--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -81,6 +81,16 @@
             self.restart_seconds, lambda: asyncio.ensure_future(self.start())
         )
 
+    async def crash_from_handler(self):
+        """Crashes while it handles a request, whose task ends as well."""
+        asyncio.get_running_loop().create_task(self.crash())
+        await asyncio.sleep(60)
+
+    def is_crashed_by(self, headers) -> bool:
+        """Returns whether a part of the prompt of a request crashes it."""
+        parts = headers.get("x-prompt-prefix", "").split(",")
+        return bool(self.crashing_parts.intersection(part.partition(":")[0] for part in parts))
+
     def heartbeat(self, service: str, zone: str, sequence: int, state: str = "ready") -> bytes:
         """Returns the body of a heartbeat request."""
         return orjson.dumps(
@@ -159,12 +169,9 @@
         first = int(headers.get("last-event-id", "-1")) + 1
         holder = self._worker_by_address.get(headers.get("x-kv-backup", ""))
         responder.begin(200, self._response_headers(request_id))
-        parts = headers.get("x-prompt-prefix", "").split(",")
-        if self.crashing_parts.intersection(part.partition(":")[0] for part in parts):
+        if self.is_crashed_by(headers):
             await asyncio.sleep(self.event_seconds)
-            # The crash ends this task as well.
-            asyncio.get_running_loop().create_task(self.crash())
-            await asyncio.sleep(60)
+            await self.crash_from_handler()
         for number in range(first, self.events):
             if batch_request is None:
                 await asyncio.sleep(self.event_seconds)
@@ -204,6 +211,8 @@
         await worker._run_stream(request, responder, request_id)
         return
     worker.runs.append((request_id, dict(request.value_by_header)))
+    if worker.is_crashed_by(request.value_by_header):
+        await worker.crash_from_handler()
     body = b"%s %s %s" % (
         request.method.encode(),
         request.request_target.encode(),
