Soak with large configs and redirected operators

Every sixth config of the soak has 1,500 routes more, so that nodes with slow links redirect writes and reads while hubs are killed, paused and wiped.

--- a/features/soak.py
+++ b/features/soak.py
@@ -34,6 +34,10 @@
 CATCH_UP_SECONDS = 4.0
 # Largest jump of the time of day, in seconds.
 MAX_CLOCK_JUMP_SECONDS = 30
+# Every so many configs one is so large that nodes with slow links redirect the operator.
+LARGE_CONFIG_INTERVAL = 6
+LARGE_CONFIG_ROUTES = 1500
+MAX_REDIRECTS = 2
 # Largest length of a torn write, in bytes.
 MAX_TORN_WRITE_BYTES = 2000
 # Tolerance for delays of this process between an event and its timestamp on a loaded machine.
@@ -288,12 +292,24 @@
             asyncio.ensure_future(self._send_stream(node, f"s{next(self._numbers)}"))
             await asyncio.sleep(0.15)
 
+    async def _request_config(self, method, body=b""):
+        """Sends a request for the config to a random node and follows redirects."""
+        node = self._rng.randrange(DISK_NODES + DISKLESS_NODES)
+        for _ in range(1 + MAX_REDIRECTS):
+            answer = await node_test.request_config(self._cluster, node, method, body)
+            if answer is None or answer.status != 307:
+                return answer
+            node = node_test.redirected_node(self._cluster, answer)
+        return None
+
     async def _run_operator(self, stop):
         while not stop.is_set():
             self._version += self._rng.randrange(1, 4)
-            body = orjson.dumps(platform_standins.make_config(self._version))
-            node = self._rng.randrange(DISK_NODES + DISKLESS_NODES)
-            answer = await node_test.request_config(self._cluster, node, "PUT", body)
+            is_large = self._rng.randrange(LARGE_CONFIG_INTERVAL) == 0
+            document = node_test.make_large_config(
+                self._version, LARGE_CONFIG_ROUTES if is_large else 0
+            )
+            answer = await self._request_config("PUT", orjson.dumps(document))
             if answer is not None and answer.status == 200:
                 self.record.acknowledged.append((time.monotonic(), self._version))
             elif answer is not None and 400 <= answer.status < 500:
@@ -303,8 +319,7 @@
     async def _run_readers(self, stop):
         while not stop.is_set():
             asked_at = time.monotonic()
-            node = self._rng.randrange(DISK_NODES + DISKLESS_NODES)
-            answer = await node_test.request_config(self._cluster, node, "GET")
+            answer = await self._request_config("GET")
             if answer is not None and answer.status == 200:
                 self.record.reads.append((asked_at, orjson.loads(answer.body)["version"]))
             await asyncio.sleep(0.2)
