Count a node as alive while it receives a large bundle

A node sends its next watch after it has received the answer to the last one. With a bundle that takes longer than 1.6 s the hub reported the node as gone and its runs as interrupted: at 5 Mbit/s from about 400 KB compressed on, with the time for which a watch is held and the share of the hub's own link. The hub now adds the time of the transfer, at 2 Mbit/s.

Announcements of targets are sent to hubs first whose link carries no large answer, because the acknowledgement has to arrive within 0.3 s.

The test of the hub fails on the code before; the order of the hubs has no test.

--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -30,6 +30,8 @@
 # A node that sent no watch for this long counts as gone: long enough for two missed watches and the
 # delay of a slow link.
 NODE_TIMEOUT_SECONDS = 1.6
+# Rate of the slowest links for which that timeout is extended while a bundle is transferred.
+SLOW_LINK_BYTES_PER_SECOND = 250_000.0
 # Heartbeat intervals without an announcement after which a target counts as overdue.
 OVERDUE_INTERVALS = 2.5
 # Time for which an entry stays published after its last report. A loss is kept briefly, since a
@@ -198,7 +200,8 @@
             if is_older and stored.report.state != NODE_GONE:
                 return
             if stored.report == report:
-                stored.last_report_at = self._now()
+                # The time may lie ahead; see `_expect_transfer`.
+                stored.last_report_at = max(stored.last_report_at, self._now())
                 return
         self._put(key, "nodes", report)
 
@@ -359,7 +362,15 @@
             finally:
                 self._watch_futures.discard(future)
         self._announced_version_by_node[watch.node.name] = self.published().version
-        return expression.Ok(strict.encode(self._build_answer(watch, self.members(), True)))
+        answer = self._build_answer(watch, self.members(), True)
+        self._expect_transfer(watch.node.name, len(answer.content))
+        return expression.Ok(strict.encode(answer))
+
+    def _expect_transfer(self, node_name, size):
+        """Extends the timeout of a node, whose next watch comes after it has received a bundle."""
+        entry = self._entry_by_key.get(("nodes", node_name))
+        if entry is not None and size:
+            entry.last_report_at = self._now() + size / SLOW_LINK_BYTES_PER_SECOND
 
     def _has_changes_for(self, watch):
         is_same_incarnation = watch.hub_incarnation == self.incarnation
--- a/chiveswitch/peers/hub_test.py
+++ b/chiveswitch/peers/hub_test.py
@@ -151,6 +151,25 @@
     asyncio.run(scenario())
 
 
+def test_a_node_is_not_gone_while_it_receives_a_large_bundle():
+    # Guards against nodes with slow links that count as gone, with all their runs, because their
+    # next watch comes only after a bundle whose transfer takes longer than the timeout.
+    async def scenario():
+        fixture = HubFixture()
+        fixture.published = hub.PublishedBundle(3, bytes(1_000_000), b"signature")
+        await fixture.watch(version=2, wants=True)
+        fixture.hub.record_node_report(node())
+        fixture.time = hub.NODE_TIMEOUT_SECONDS + 1_000_000 / hub.SLOW_LINK_BYTES_PER_SECOND - 0.1
+        fixture.hub.sweep()
+        states = [each.report.state for each in fixture.changes]
+        assert states == [hub.NODE_READY]
+        fixture.time += 0.2
+        fixture.hub.sweep()
+        assert fixture.changes[-1].report.state == hub.NODE_GONE
+
+    asyncio.run(scenario())
+
+
 def test_a_process_that_is_no_hub_only_names_the_hubs():
     async def scenario():
         answer = await HubFixture(is_member=False).watch()
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -504,7 +504,7 @@
         """Delivers a target's announcement to a hub.
 
         If this node is a member, it accepts the announcement itself; otherwise it sends it to up to
-        two reachable hubs, connected ones first.
+        two reachable hubs, connected ones and those that send nothing large first.
 
         Args:
             report: A TargetReport of `hub_thrift`.
@@ -516,7 +516,8 @@
             if self._accept_report(report):
                 return expression.Ok(self.settings.peer_address)
         hub_states = self.watcher.reachable_hubs()
-        hub_states.sort(key=lambda state: not state.link.connected)
+        # An acknowledgement would have to wait for the rest of a large bundle on the same link.
+        hub_states.sort(key=lambda state: (not state.link.connected, state.link.is_receiving))
         payload = strict.encode(hub.hub_thrift.Report(target=report))
         for state in hub_states[:2]:
             result = await state.link.call(kinds.Kind.HUB_REPORT, payload, HUB_ACK_TIMEOUT_SECONDS)
