Tell a restarted hub which crashes led to quarantines

Hubs keep the reports of crashes in memory. After all hubs were killed at once, a gateway that restarted with them sent prompts that crash engines until it had seen three crashes itself, although other gateways knew. A node now sends a hub that has restarted the crashes behind its quarantines in force; the hub publishes each once.

--- a/chiveswitch/core/prompt_quarantine.py
+++ b/chiveswitch/core/prompt_quarantine.py
@@ -231,6 +231,14 @@
         """Returns the number of parts in quarantine."""
         return sum(each.held_since is not None for each in self._suspect_by_part.values())
 
+    def held_crashes(self) -> list:
+        """Returns the `Report` of each crash that is evidence against a part in quarantine."""
+        crashes = []
+        for suspect in self._suspect_by_part.values():
+            if suspect.held_since is not None:
+                crashes.extend(suspect.crashes)
+        return crashes
+
     # Reports.
 
     def record_beginning(self, parts: list, now: float) -> list:
--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -89,6 +89,7 @@
         "_seeds",
         "_own_address",
         "_task_by_address",
+        "_restore_tasks",
         "_queued_runs",
         "_queued_losses",
         "_report_timer",
@@ -103,6 +104,7 @@
                 version of the bundle, and `apply_target_reports`, `apply_node_reports`,
                 `apply_run_reports`, `apply_loss_reports`, `apply_prompt_reports`, `apply_bundle`,
                 `discard_hub_reports` and `log_hub_state` apply what was received;
+                `held_prompt_reports` returns the PromptReports of quarantines in force;
                 `log_watch_timeout`, `log_bundle_announced` and `log_bundle_requested` log the
                 watches.
             seeds: Peer addresses from the settings, watched until the members are known.
@@ -118,6 +120,7 @@
         self._seeds = seeds
         self._own_address = own_address
         self._task_by_address = {}
+        self._restore_tasks = set()
         self._queued_runs = []
         self._queued_losses = []
         self._report_timer = None
@@ -129,9 +132,10 @@
 
     async def close(self):
         """Cancels all watches and closes their links."""
-        for task in self._task_by_address.values():
+        tasks = [*self._task_by_address.values(), *self._restore_tasks]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._task_by_address.values(), return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for state in self.state_by_address.values():
             await state.link.close()
 
@@ -177,15 +181,18 @@
                 hub_thrift.PromptReport(**{**vars(each), "age_ms": each.age_ms + age_ms})
                 for each in reports
             ]
-            result = await self._rng.choice(states).link.call(
-                kinds.Kind.HUB_REPORT_PROMPTS,
-                strict.encode(hub_thrift.PromptReports(reports=aged_reports)),
-                PROMPT_REPORT_TIMEOUT_SECONDS,
-            )
+            result = await self._send_prompt_reports(self._rng.choice(states), aged_reports)
             if result.is_ok():
                 return
         log.warning("peers: no hub acknowledged %s reports of prompts", len(reports))
 
+    async def _send_prompt_reports(self, state, reports):
+        return await state.link.call(
+            kinds.Kind.HUB_REPORT_PROMPTS,
+            strict.encode(hub_thrift.PromptReports(reports=reports)),
+            PROMPT_REPORT_TIMEOUT_SECONDS,
+        )
+
     def _schedule_reports(self):
         if self._report_timer is None:
             self._report_timer = asyncio.get_running_loop().call_later(
@@ -219,6 +226,14 @@
             asyncio.get_running_loop().create_task(state.link.close())
             self._view.discard_hub_reports(address)
 
+    def _restore_prompt_reports(self, state):
+        """Tells a hub that has restarted which crashes led to quarantines that are in force."""
+        reports = self._view.held_prompt_reports()
+        if reports:
+            task = asyncio.get_running_loop().create_task(self._send_prompt_reports(state, reports))
+            self._restore_tasks.add(task)
+            task.add_done_callback(self._restore_tasks.discard)
+
     def _build_watch(self, state, runs, losses, wants_bundle):
         return hub_thrift.Watch(
             node=self._view.node_report(),
@@ -331,6 +346,8 @@
         if answer.hub_incarnation != state.incarnation:
             self._view.discard_hub_reports(state.address)
             state.incarnation = answer.hub_incarnation
+            if answer.is_hub:
+                self._restore_prompt_reports(state)
         if answer.is_hub:
             state.position = answer.position
         if answer.content:
--- a/chiveswitch/peers/hub_watch_test.py
+++ b/chiveswitch/peers/hub_watch_test.py
@@ -131,6 +131,9 @@
     def preferred_hub(self, addresses):
         return self._preferred if self._preferred in addresses else sorted(addresses)[0]
 
+    def held_prompt_reports(self):
+        return []
+
     def apply_bundle(self, version, _content, _signature, source):
         if self.accepts:
             self.version, self.source = version, source
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -71,6 +71,15 @@
     return hub.RUN_ENDED if run.ended else hub.RUN_ACTIVE
 
 
+def _wire_prompt_report(report):
+    return hub.hub_thrift.PromptReport(
+        outcome=int(report.outcome),
+        parts=report.parts,
+        target_id=report.target_id,
+        age_ms=int((clock.now() - report.at) * hub.MS_PER_SECOND),
+    )
+
+
 class ApiListener:
     """An address and the adapter's handler that answers the requests to it.
 
@@ -165,6 +174,7 @@
         )
         self.view.watcher = self.watcher
         self.view.on_prompt_report = self._on_prompt_report
+        self.view.held_prompt_reports = self._held_prompt_reports
         self.forwarder.report_prompt = self._report_prompt
         self.hub = hub.Hub(
             settings.heartbeat_s,
@@ -444,17 +454,15 @@
         self.watcher.report_loss(report)
 
     def _report_prompt(self, report):
-        wire_report = hub.hub_thrift.PromptReport(
-            outcome=int(report.outcome),
-            parts=report.parts,
-            target_id=report.target_id,
-            age_ms=int((clock.now() - report.at) * hub.MS_PER_SECOND),
-        )
+        wire_report = _wire_prompt_report(report)
         if self._is_member():
             self.hub.record_prompt_report(wire_report)
             return
         self.forwarder.spawn(self.watcher.report_prompts([wire_report]))
 
+    def _held_prompt_reports(self):
+        return [_wire_prompt_report(each) for each in self.forwarder.quarantine.held_crashes()]
+
     def _on_prompt_report(self, wire_report):
         self.forwarder.apply_prompt_report(
             prompt_quarantine.Report(
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -43,6 +43,8 @@
         published: `hub.PublishedBundle` with the bundle in force, of the highest version received.
         on_bundle: Called with each new `routing.RouteBundle`.
         on_prompt_report: Called with each received PromptReport of `hub_thrift`.
+        held_prompt_reports: Function that returns the PromptReports that led to quarantines in
+            force.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "published",
         "on_bundle",
         "on_prompt_report",
+        "held_prompt_reports",
         "_settings",
         "_incarnation",
         "_table",
@@ -67,6 +70,7 @@
         self.published = hub.PublishedBundle()
         self.on_bundle = on_bundle
         self.on_prompt_report = lambda report: None
+        self.held_prompt_reports = list
         self._settings = settings
         self._incarnation = incarnation
         self._table = table
