Log which gateway has seen which limit of which target

The nodes' logs could not tell whether limits are not read, or are obeyed by each gateway alone. Each gateway now decodes the limit in a response and logs when one is named, changed, lifted or cannot be read, with value, source and age. Nothing acts on it yet.

--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -196,6 +196,8 @@
     elif is_failure or response.status in UNPROVEN_STATUSES:
         channel.abort()
     response_info = forwarder.process_response(target, response)
+    if is_match:
+        forwarder.limiter.observe_response(target, response_info, started)
     if response_info.not_run and is_match:
         admitted.may_have_run = may_have_run_before
         return SendOutcome(None, True, f"rejected the request with status {response.status}")
--- a/chiveswitch/forwarding/exchange.py
+++ b/chiveswitch/forwarding/exchange.py
@@ -84,14 +84,19 @@
         not_run: Whether the target states that it did not run the request.
         is_misdirected: Whether another target now has the address.
         load: (running, waiting) requests of the target, or None if not stated.
+        rate_limit: Requests per second that the target takes from all gateways together, or None if
+            the response names no limit.
+        rate_limit_fault: Why a named limit cannot be read, or an empty string.
     """
 
-    __slots__ = ("not_run", "is_misdirected", "load")
+    __slots__ = ("not_run", "is_misdirected", "load", "rate_limit", "rate_limit_fault")
 
     def __init__(self, not_run: bool, is_misdirected: bool, load: tuple | None):
         self.not_run = not_run
         self.is_misdirected = is_misdirected
         self.load = load
+        self.rate_limit = None
+        self.rate_limit_fault = ""
 
 
 class Dialect:
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -15,7 +15,7 @@
     routing,
 )
 from chiveswitch.forwarding import channel as channels
-from chiveswitch.forwarding import exchange, pool
+from chiveswitch.forwarding import exchange, pool, rate_limiter
 
 # Time in seconds for which a caller that states no deadline is assumed to wait. The route's timeout
 # applies as well.
@@ -118,6 +118,7 @@
         quarantine: `prompt_quarantine.PromptQuarantine` with the prompts that crash engines.
         report_prompt: Function that is called with each `prompt_quarantine.Report` for the other
             gateways.
+        limiter: `rate_limiter.RateLimiter` with the limits that targets name.
         starting_streams: Streams that wait for the first events of an engine; each has
             `cancel_start`.
         draining_since: Time at which the process began to stop, in seconds of `core.clock`, or
@@ -141,6 +142,7 @@
         "report_run",
         "quarantine",
         "report_prompt",
+        "limiter",
         "starting_streams",
         "draining_since",
         "stream_admission_window_s",
@@ -175,6 +177,7 @@
         self.node_name = settings.name
         self.report_run = report_run
         self.report_prompt = lambda report: None
+        self.limiter = rate_limiter.RateLimiter(log, metrics, settings.name)
         self.starting_streams = set()
         self.draining_since = None
         self.stream_admission_window_s = settings.stop_grace_s * STREAM_ADMISSION_SHARE
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -91,6 +91,8 @@
         copy_manager: `copies.CopyManager` of the run.
         attempt_event_count: Number of events that the present engine has sent.
         channel: Channel of the present attempt, or None.
+        sent_at: Time at which the request of the present attempt was sent, in seconds of
+            `core.clock`.
         quarantined_part: Part for which the present attempt is given up, or an empty string.
     """
 
@@ -111,6 +113,7 @@
         "copy_manager",
         "attempt_event_count",
         "channel",
+        "sent_at",
         "quarantined_part",
     )
 
@@ -141,6 +144,7 @@
         self.copy_manager = copies.CopyManager(forwarder, admitted, self.run, self.publish_run)
         self.attempt_event_count = 0
         self.channel = None
+        self.sent_at = now
         self.quarantined_part = ""
 
     @property
@@ -278,6 +282,7 @@
         self.run.queued_at = clock.now()
         self.publish_run()
         admitted.send_count += 1
+        self.sent_at = clock.now()
         self.buffer.restart()
         forwarder.log_sent(
             admitted,
@@ -327,6 +332,7 @@
                         )
                     accepted = True
                     response_info = dialect.decode_response(response)
+                    forwarder.limiter.observe_response(target, response_info, self.sent_at)
                     if response_info.load is not None:
                         target.update_load(*response_info.load, clock.now())
                 if accepted and response.body:
@@ -504,6 +510,7 @@
             return AttemptEnd.FAULTY, f"answered {response.status} for another request"
         forwarder.pool.release(channel)
         response_info = forwarder.process_response(target, response)
+        forwarder.limiter.observe_response(target, response_info, self.sent_at)
         status = response.status
         if response_info.not_run:
             admitted.may_have_run = may_have_run_before
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -1,5 +1,7 @@
 """Translates HTTP headers between the platform's callers and workers and the product's types."""
 
+import re
+
 import orjson
 
 from chiveswitch.forwarding import exchange
@@ -21,6 +23,10 @@
 KV_FROM = "Kv-From"
 NOT_EXECUTED = "x-not-executed"
 INSTANCE_LOAD = "x-instance-load"
+# Requests per second that a worker takes from all machines together; a decimal number.
+SERVER_LIMIT = "server-limit"
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?", re.ASCII)
+MAX_LOGGED_VALUE_LENGTH = 40
 # HTTP status of a worker that is not the expected instance.
 MISDIRECTED_STATUS = 421
 
@@ -80,6 +86,17 @@
     return "\r" not in text and "\n" not in text and "\0" not in text
 
 
+def _read_limit(response, info):
+    """Sets the limit of a `ResponseInfo`, or the fault of a limit that cannot be read."""
+    values = [value.strip() for name, value in response.headers if name.lower() == SERVER_LIMIT]
+    if len(values) > 1:
+        info.rate_limit_fault = f"{len(values)} limits"
+    elif DECIMAL_NUMBER.fullmatch(values[0]) is None:
+        info.rate_limit_fault = f"no decimal number: {values[0][:MAX_LOGGED_VALUE_LENGTH]!r}"
+    else:
+        info.rate_limit = float(values[0])
+
+
 class Dialect(exchange.Dialect):
     """The `exchange.Dialect` of the platform's headers."""
 
@@ -183,7 +200,10 @@
         parts = value_by_header.get(INSTANCE_LOAD, "").split(",")
         if len(parts) == 3 and all(part.strip().isdecimal() for part in parts[:2]):
             load = (int(parts[0]), int(parts[1]))
-        return exchange.ResponseInfo(not_run, is_misdirected, load)
+        info = exchange.ResponseInfo(not_run, is_misdirected, load)
+        if SERVER_LIMIT in value_by_header:
+            _read_limit(response, info)
+        return info
 
     def response_headers(self, response) -> list[tuple[str, str]]:
         """Returns a worker's headers except the hop-by-hop headers and the load report."""
--- a/chiveswitch/platform/headers_test.py
+++ b/chiveswitch/platform/headers_test.py
@@ -1,5 +1,7 @@
 """Tests that the platform's headers are decoded and encoded."""
 
+import pytest
+
 from chiveswitch.forwarding import channel, exchange, http_server
 from chiveswitch.platform import headers
 
@@ -91,6 +93,29 @@
     assert DIALECT.decode_response(make_response(200, [("X-Instance-Load", "x")])).load is None
 
 
+@pytest.mark.parametrize(("text", "rate"), [("2.5", 2.5), ("0", 0.0), (" 0.2 ", 0.2), ("40", 40)])
+def test_the_limit_of_a_worker_is_a_decimal_number(text, rate):
+    # Guards against limits below one request a second that count as none.
+    info = DIALECT.decode_response(make_response(503, [("Server-Limit", text)]))
+    assert (info.rate_limit, info.rate_limit_fault) == (rate, "")
+
+
+@pytest.mark.parametrize(
+    "text", ["", "many", "-1", "+1", "NaN", "inf", "1e309", "1,5", "\u0662", "0x1"]
+)
+def test_a_limit_that_is_no_decimal_number_is_a_fault(text):
+    # Guards against a limit that is taken from garbage, and against an exception because of it.
+    info = DIALECT.decode_response(make_response(200, [("Server-Limit", text)]))
+    assert info.rate_limit is None and info.rate_limit_fault
+
+
+def test_two_limits_in_one_response_are_a_fault():
+    # Guards against one of two contradicting limits that is taken for the worker's.
+    pairs = [("Server-Limit", "2"), ("server-limit", "20")]
+    info = DIALECT.decode_response(make_response(200, pairs))
+    assert info.rate_limit is None and info.rate_limit_fault == "2 limits"
+
+
 def test_copy_response_is_decoded_into_source_and_handle():
     reference = DIALECT.decode_copy_response(
         make_response(200, [], b'{"handle":"h1","made":3}'), "10.0.0.1:80"
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -426,6 +426,7 @@
     def _on_target_removed(self, target_id):
         self.forwarder.pool.close_target(target_id)
         self.forwarder.detector.forget_engine(target_id)
+        self.forwarder.limiter.table.forget(target_id)
 
     def _report_run(self, run):
         report = hub.hub_thrift.RunReport(
@@ -484,6 +485,7 @@
             self.forwarder.retry_budgets.gateway_count = gateway_count
             self.forwarder.quarantine.gateway_count = gateway_count
             self.forwarder.quarantine.sweep(now)
+            self.forwarder.limiter.table.sweep(now)
             self._update_state()
             self._update_members()
 
