--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -617,6 +617,48 @@
     run_with_cluster(tmp_path, scenario)
 
 
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: limits of targets")
+def test_all_nodes_together_keep_to_the_limit_that_a_target_names(tmp_path):
+    # Guards against gateways each of which sends a target as much as it takes from all of them.
+    async def scenario(cluster, fleet):
+        limited, free = fleet.workers[:2]
+        limited.named_limit = "5"
+        node_count = len(cluster.ips)
+        for number in range(node_count):
+            await call_node(cluster, number, f"r{number}")
+        for number in range(node_count):
+            await wait_for_log(cluster, number, "limit_named")
+        started, known = clock.now(), len(limited.arrived_at)
+        tasks = []
+        for count in range(120):
+            tasks.append(asyncio.ensure_future(call_node(cluster, count % node_count, f"s{count}")))
+            await asyncio.sleep(0.025)
+        answers = await asyncio.gather(*tasks)
+        seconds = clock.now() - started
+        assert all(answer.status == 200 for answer in answers)
+        sent = len(limited.arrived_at) - known
+        assert 5 <= sent <= 5 * seconds * 1.5 + 5
+        # The limit also holds for a node that has just started.
+        cluster.signal(3, signal.SIGKILL)
+        cluster.wait(3)
+        text_before = len(cluster.log(3))
+        cluster.start(3)
+        await platform_standins.wait_until(
+            lambda: "limit_named" in cluster.log(3)[text_before:], 15.0
+        )
+        # Each node learns that it was lifted, also those that get no response of the target.
+        limited.named_limit = None
+        text_lengths = [len(cluster.log(number)) for number in range(node_count)]
+        while True:
+            await call_node(cluster, 0, f"t{clock.now()}")
+            texts = [cluster.log(number)[text_lengths[number] :] for number in range(node_count)]
+            if all("limit_lifted" in text for text in texts):
+                break
+            await asyncio.sleep(0.05)
+
+    run_with_cluster(tmp_path, scenario)
+
+
 def test_a_preempted_stream_delivers_each_event_once(tmp_path):
     # Guards against lost or repeated events when an engine preempts a request, which frees its
     # memory and reads its prompt again later, and against a second run of it in the meantime.
--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -35,6 +35,8 @@
         crashing_parts: Parts of prompts on which it crashes after the head of the response.
         crash_count: Number of these crashes.
         restart_seconds: Seconds from a crash until it listens again.
+        named_limit: Limit that it names in its responses, as text, or None.
+        arrived_at: Times in seconds at which requests arrived that name this worker.
         batch: `engine_batch.Batch` that paces its streams instead of `event_seconds`, or None.
     """
 
@@ -55,6 +57,8 @@
         self.crash_count = 0
         self.restart_seconds = 0.5
         self.batch = None
+        self.named_limit = None
+        self.arrived_at = []
         self._worker_by_address = worker_by_address
         worker_by_address[address] = self
         self._server = http_server.Server(self._handle)
@@ -121,6 +125,7 @@
         if request.path == "/kv-move":
             self._accept_copy_order(request, responder)
             return
+        self.arrived_at.append(clock.now())
         try:
             await BEHAVIOUR_BY_NAME[self.behaviour](self, request, responder, request_id)
         except asyncio.CancelledError:
@@ -139,14 +144,21 @@
             ("X-Request-Id", request_id),
             ("X-Response-Seal", f"seal-{self.worker_id}"),
             ("X-Instance-Load", "1,0,8"),
+            *self._limit_headers(),
         ]
 
+    def _refusal_headers(self, request_id):
+        return [("X-Not-Executed", "1"), ("X-Request-Id", request_id), *self._limit_headers()]
+
+    def _limit_headers(self):
+        return [] if self.named_limit is None else [("Server-Limit", self.named_limit)]
+
     async def _run_stream(self, request, responder, request_id):
         headers = request.value_by_header
         source = headers.get("kv-from", "").rpartition("/")[2]
         if source and source not in self.last_event_by_copy:
             self.rejected_request_ids.append(request_id)
-            responder.send(503, [("X-Not-Executed", "1"), ("X-Request-Id", request_id)])
+            responder.send(503, self._refusal_headers(request_id))
             return
         batch_request = None
         if self.batch is not None:
@@ -225,7 +237,7 @@
 async def refuse(worker, _request, responder, request_id):
     """Refuses the request and states that it did not run."""
     worker.rejected_request_ids.append(request_id)
-    responder.send(503, [("X-Not-Executed", "1"), ("X-Request-Id", request_id)])
+    responder.send(503, worker._refusal_headers(request_id))
 
 
 @behaviour("unsure")
