--- a/chiveswitch/forwarding/rate_limiter_test.py
+++ b/chiveswitch/forwarding/rate_limiter_test.py
@@ -45,7 +45,9 @@
         tasks = []
         for number in range(40):
             prompt = {"X-Prompt-Prefix": f"aa:200,{number:x}:600"}
-            tasks.append(forwarder_test.stream(fixture, f"r{number}", **prompt))
+            stream = forwarder_test.stream(fixture, f"r{number}", **prompt)
+            tasks.append(asyncio.ensure_future(stream))
+            await asyncio.sleep(0.01)
         answers = await asyncio.gather(*tasks)
         assert all(answer.event_ids() == list(range(12)) for answer in answers)
         assert len(limited.arrived_at) - 1 <= most_requests(clock.now() - started)
