Keep all gateways together below the limits that targets name

Cause: no gateway read the limit.

One hub, chosen by rendezvous hashing for each service, issues the permits of its targets to all gateways, spaced by the generic cell rate algorithm; a hub that is cut off from the leader, or knows a better placed one, issues none. A gateway without an issuer uses an equal share and begins without a permit. So the sum holds whatever the number of gateways. Limits and their ends spread through the hubs as crashes do. Requests go to targets without a limit first; what all limits do not permit is refused at once (3011) with returns that follow one another at the permitted rate. Urgent requests and accounts with less than an equal part may wait longer for a permit, interrupted streams may overdraw.

--- a/chiveswitch/core/codes.py
+++ b/chiveswitch/core/codes.py
@@ -44,6 +44,7 @@
     RETRY_BUDGET_SPENT = 3008
     VIEW_INCOMPLETE = 3009
     PROMPT_QUARANTINED = 3010
+    TARGETS_LIMITED = 3011
     MAY_HAVE_RUN = 4001
     IN_PROGRESS = 4002
     OWNERSHIP_LOST = 4003
@@ -112,6 +113,7 @@
     Code.RETRY_BUDGET_SPENT: Meaning(RunStatus.UNKNOWN, RetryAdvice.LATER, 503),
     Code.VIEW_INCOMPLETE: Meaning(RunStatus.NOT_RUN, RetryAdvice.OTHER_ADDRESS, 503),
     Code.PROMPT_QUARANTINED: Meaning(RunStatus.NOT_RUN, RetryAdvice.LATER, 503),
+    Code.TARGETS_LIMITED: Meaning(RunStatus.NOT_RUN, RetryAdvice.LATER, 503),
     Code.MAY_HAVE_RUN: Meaning(RunStatus.UNKNOWN, RetryAdvice.SAME_KEY, 504),
     Code.IN_PROGRESS: Meaning(RunStatus.UNKNOWN, RetryAdvice.SAME_KEY, 409),
     Code.OWNERSHIP_LOST: Meaning(RunStatus.UNKNOWN, RetryAdvice.OTHER_ADDRESS, 409),
--- a/chiveswitch/core/metrics.py
+++ b/chiveswitch/core/metrics.py
@@ -15,13 +15,21 @@
     Attributes:
         count_by_name: Totals of the counters since the start of the process.
         gauge_by_name: Functions that return the present value of a gauge.
+        target_gauge_by_name: Functions that return the present values of a gauge by target id.
     """
 
-    __slots__ = ("count_by_name", "gauge_by_name", "_histogram_by_name", "_sum_by_name")
+    __slots__ = (
+        "count_by_name",
+        "gauge_by_name",
+        "target_gauge_by_name",
+        "_histogram_by_name",
+        "_sum_by_name",
+    )
 
     def __init__(self):
         self.count_by_name = {}
         self.gauge_by_name = {}
+        self.target_gauge_by_name = {}
         self._histogram_by_name = {}
         self._sum_by_name = {}
 
@@ -49,6 +57,9 @@
             lines.append(f"chiveswitch_{name}_total {self.count_by_name[name]}")
         for name in sorted(self.gauge_by_name):
             lines.append(f"chiveswitch_{name} {self.gauge_by_name[name]()}")
+        for name in sorted(self.target_gauge_by_name):
+            for target_id, value in self.target_gauge_by_name[name]().items():
+                lines.append(f'chiveswitch_{name}{{target="{target_id}"}} {value:.3f}')
         for name in sorted(self._histogram_by_name):
             latencies = self._histogram_by_name[name]
             for percentile in PERCENTILES:
--- a/chiveswitch/core/rate_limits.py
+++ b/chiveswitch/core/rate_limits.py
@@ -64,7 +64,7 @@
             return None
         return report.rate if now - report.at < EXPIRY_SECONDS else None
 
-    def limits_in_force(self) -> list:
+    def in_force(self) -> list:
         """Returns the `Report` of each target with a limit."""
         return [each for each in self._report_by_target.values() if each.rate is not None]
 
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -24,6 +24,8 @@
 # Statuses that mean "not run" to callers. They prove it only together with a target's statement
 # that it did not run the call.
 UNPROVEN_STATUSES = frozenset((408, 421, 429, 503))
+# Share of the latency objective, and of the remaining time, for which a call waits for a permit.
+PERMIT_WAIT_SHARE = 0.5
 # Retry-After in seconds for a call that all targets rejected.
 REJECTED_RETRY_AFTER_SECONDS = 0.2
 
@@ -48,7 +50,11 @@
             return
         targets = forwarder.target_table.ready_targets(admitted.service.name)
         untried = [each for each in targets if each.target_id not in excluded_ids]
-        target = placement.choose_target(untried, forwarder.zone, clock.now(), forwarder.rng)
+        target, retry_after_s = await _select_target(forwarder, admitted, untried)
+        if target is None and retry_after_s and not forwarder.limiter.without_limits(targets):
+            reason = "the limits of all targets are used up"
+            forwarder.fail_request(admitted, codes.Code.TARGETS_LIMITED, reason, retry_after_s)
+            return
         if target is None:
             if not targets or rejection_count >= MAX_REJECTIONS:
                 break
@@ -116,6 +122,32 @@
     forwarder.fail_request(admitted, code, reason, REJECTED_RETRY_AFTER_SECONDS)
 
 
+async def _select_target(forwarder, admitted, targets):
+    """Selects a target and waits for its permit if it has a limit.
+
+    Args:
+        forwarder: The `forwarder.Forwarder`.
+        admitted: The call.
+        targets: Targets that may be selected.
+
+    Returns:
+        The target, or None; and the seconds after which the call may be repeated if the targets'
+        limits do not permit it, else 0.
+    """
+
+    def choose(candidates):
+        return placement.choose_target(candidates, forwarder.zone, clock.now(), forwarder.rng)
+
+    target = choose(targets)
+    if target is None or not forwarder.limiter.is_limited(target):
+        return target, 0.0
+    max_wait_s = min(
+        PERMIT_WAIT_SHARE * admitted.route.objective_s,
+        PERMIT_WAIT_SHARE * admitted.remaining_s(),
+    )
+    return await forwarder.limiter.select_permitted(admitted, target, targets, choose, max_wait_s)
+
+
 class SendOutcome:
     """Outcome of sending a call to one target.
 
@@ -160,7 +192,7 @@
     dialect = forwarder.dialect
     options = forwarder.build_send_options(admitted, target)
     admitted.send_count += 1
-    forwarder.log_sent(admitted, target)
+    forwarder.record_sent(admitted, target)
     may_have_run_before = admitted.may_have_run
     # Once a byte was sent, the target may run the call unless it states that it did not.
     admitted.may_have_run = True
--- a/chiveswitch/forwarding/copies.py
+++ b/chiveswitch/forwarding/copies.py
@@ -89,15 +89,17 @@
             return None
         forwarder = self._forwarder
         now = clock.now()
-        return placement.choose_copy_target(
-            forwarder.target_table.ready_targets(self._admitted.service.name),
-            forwarder.run_table.load_by_target(now),
-            engine,
-            self._run.tokens,
-            {target.zone},
-            now,
-            forwarder.rng,
-        )
+        ready = forwarder.target_table.ready_targets(self._admitted.service.name)
+        # A stream that continues from its copy needs a permit at a target with a limit.
+        without_limits = forwarder.limiter.without_limits(ready)
+        loads = forwarder.run_table.load_by_target(now)
+        for candidates in (without_limits, ready):
+            holder = placement.choose_copy_target(
+                candidates, loads, engine, self._run.tokens, {target.zone}, now, forwarder.rng
+            )
+            if holder is not None or len(candidates) == len(ready):
+                return holder
+        return None
 
     def find_holder(self):
         """Returns the engine that holds the copy, or None if it is gone or draining."""
@@ -177,11 +179,14 @@
 
     async def _send_request(self, target, data, timeout_s):
         """Sends a request to an engine; returns its response, or None if none came in time."""
+        if not await self._forwarder.limiter.may_send(self._admitted, target):
+            return None
         pool = self._forwarder.pool
         until = clock.now() + timeout_s
         channel = await pool.acquire(target.target_id, target.address, False, timeout_s)
         if channel is None:
             return None
+        self._forwarder.limiter.record_sent(target)
         channel.send(data, NO_REQUEST_ID_HEADER)
         try:
             response = await channel.read_response(until)
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -94,6 +94,14 @@
         self.send_count = 0
         self.may_have_run = False
 
+    @property
+    def priority(self) -> int:
+        """Priority of the request; 0 is the most urgent."""
+        account = self.bundle.account_by_key.get(self.caller.account_key)
+        if account is None or account.priority is None:
+            return self.route.priority
+        return account.priority
+
     def remaining_s(self) -> float:
         """Returns the seconds until the deadline."""
         return self.deadline - clock.now()
@@ -177,11 +185,11 @@
         self.node_name = settings.name
         self.report_run = report_run
         self.report_prompt = lambda report: None
-        self.limiter = rate_limiter.RateLimiter(log, metrics, settings.name)
         self.starting_streams = set()
         self.draining_since = None
         self.stream_admission_window_s = settings.stop_grace_s * STREAM_ADMISSION_SHARE
         self.rng = random.Random()
+        self.limiter = rate_limiter.RateLimiter(log, metrics, settings.name, self.spawn, self.rng)
         self.quarantine = prompt_quarantine.PromptQuarantine(
             self.rng, self._on_prompt_held, self._on_prompt_released
         )
@@ -483,8 +491,9 @@
             response.reason,
         )
 
-    def log_sent(self, admitted: AdmittedRequest, target, **details):
-        """Logs that a request is sent to a target, with details of the route's kind."""
+    def record_sent(self, admitted: AdmittedRequest, target, **details):
+        """Counts and logs a request that is sent to a target, with details of the route's kind."""
+        self.limiter.record_sent(target)
         self.log.line(
             "gateway",
             "sent",
--- a/chiveswitch/forwarding/rate_limiter.py
+++ b/chiveswitch/forwarding/rate_limiter.py
@@ -1,32 +1,90 @@
-"""The limits that targets name, as one gateway knows them."""
+"""Keeps the requests of all gateways together below the limits that targets name.
 
-from chiveswitch.core import clock, rate_limits
+A gateway learns limits from responses and from other gateways. Before it sends a request to a
+target with a limit, it asks the issuer of the target's service for a permit. Requests that come
+while an answer of the issuer is awaited are sent to it together. Without an issuer each gateway
+uses an equal share of the limit.
+"""
+
+import asyncio
+import math
+
+from chiveswitch.core import clock, permits, rate_limits, retry
+
+# Largest number of targets among which the issuer chooses for one request.
+MAX_CANDIDATES = 8
+# Largest number of requests in one message to the issuer.
+MAX_BATCH = 64
+# Time after a failed request to the issuer in which the gateway uses its own share.
+ISSUER_RETRY_SECONDS = 0.5
+# Number of gateways that is assumed until they are known.
+ASSUMED_GATEWAYS = 10
+# Window over which the requests to targets with a limit are counted for the metrics.
+USE_WINDOW_SECONDS = 4.0
+# Largest number of targets whose limits are served as metrics.
+MAX_METRIC_TARGETS = 50
 
 
 class RateLimiter:
-    """Learns limits from responses and from other gateways.
+    """Limits known to one gateway, and its requests for permits.
 
     Attributes:
         table: `rate_limits.RateLimitTable`.
         report: Function that is called with each `rate_limits.Report` for the other gateways.
+        issue: Coroutine function (service, list of `permits.PermitRequest`) that returns the list
+            of `permits.Permit` of the service's issuer, or None if there is none; None if this
+            gateway is the only one.
     """
 
-    __slots__ = ("table", "report", "_log", "_metrics", "_node_name")
+    __slots__ = (
+        "table",
+        "report",
+        "issue",
+        "_own_issuer",
+        "_waiting_by_service",
+        "_failed_at_by_service",
+        "_count_by_target",
+        "_spawn",
+        "_rng",
+        "_log",
+        "_metrics",
+        "_node_name",
+    )
 
-    def __init__(self, log, metrics, node_name: str):
+    def __init__(self, log, metrics, node_name: str, spawn, rng):
         """Creates a limiter without limits.
 
         Args:
             log: `decision_log.DecisionLog`.
             metrics: `metrics.Metrics`.
             node_name: Name of this gateway's node.
+            spawn: Function that runs a coroutine as a task.
+            rng: Random number generator.
         """
         self.table = rate_limits.RateLimitTable(self._on_changed)
         self.report = lambda report: None
+        self.issue = None
+        self._own_issuer = permits.PermitIssuer(rng)
+        # (request, future) pairs of services whose issuer is being asked.
+        self._waiting_by_service = {}
+        self._failed_at_by_service = {}
+        self._count_by_target = {}
+        self._spawn = spawn
+        self._rng = rng
         self._log = log
         self._metrics = metrics
         self._node_name = node_name
 
+    # Knowledge of limits.
+
+    def is_limited(self, target) -> bool:
+        """Returns whether a `target_table.Target` has a limit."""
+        return self.table.rate_of(target, clock.now()) is not None
+
+    def without_limits(self, targets: list) -> list:
+        """Returns the targets that have no limit."""
+        return [target for target in targets if not self.is_limited(target)]
+
     def observe_response(self, target, response_info, sent_at: float):
         """Learns from a response that belongs to its request.
 
@@ -52,6 +110,27 @@
         if report is not None:
             self.report(report)
 
+    def forget(self, target_id: str):
+        """Forgets a target that has left."""
+        self.table.forget(target_id)
+        self._count_by_target.pop(target_id, None)
+
+    def sweep(self, gateway_count: int, now: float):
+        """Forgets what is too old, and sets the number of gateways that share the limits."""
+        if self.issue is not None:
+            self._own_issuer.share = 1 / max(2, gateway_count)
+        self.table.sweep(now)
+        self._own_issuer.sweep(now)
+        for target_id, count in list(self._count_by_target.items()):
+            if not count.total(now):
+                del self._count_by_target[target_id]
+
+    def connect(self, issue, report):
+        """Sets the functions `issue` and `report` to those of a group of gateways."""
+        self.issue = issue
+        self.report = report
+        self._own_issuer.share = 1 / ASSUMED_GATEWAYS
+
     def _on_changed(self, event, report, previous):
         now = clock.now()
         self._metrics.count(f"limits_{event}")
@@ -59,9 +138,147 @@
             "gateway",
             f"limit_{event}",
             target=report.target_id,
-            rate=-1.0 if report.rate is None else report.rate,
-            before=-1.0 if previous is None else previous,
+            rate=math.inf if report.rate is None else report.rate,
+            before=math.inf if previous is None else previous,
             source=report.source,
             age=now - report.at,
             since=now - report.since,
         )
+
+    # Permits.
+
+    async def select_permitted(
+        self, admitted, chosen, targets: list, choose, max_wait_s: float, is_resumed: bool = False
+    ):
+        """Returns a target to which a request may be sent now, and may wait for its permit.
+
+        Args:
+            admitted: The `forwarder.AdmittedRequest`.
+            chosen: The preferred one of the targets, which has a limit.
+            targets: Targets that may be chosen.
+            choose: Function that returns the best one of a list of targets.
+            max_wait_s: Longest time in seconds for which the request may wait if all targets have
+                a limit. It does not wait if there are others.
+            is_resumed: Whether the request continues a stream that was interrupted.
+
+        Returns:
+            The target, or None; and the seconds after which the request may be repeated if no
+            target is permitted.
+        """
+        now = clock.now()
+        free, limited = [], []
+        for target in targets:
+            (free if self.table.rate_of(target, now) is None else limited).append(target)
+        rate_by_target = {}
+        candidate = chosen if chosen in limited else choose(limited)
+        while candidate is not None and len(rate_by_target) < MAX_CANDIDATES:
+            rate_by_target[candidate.target_id] = self.table.rate_of(candidate, now)
+            limited.remove(candidate)
+            candidate = choose(limited)
+        request = permits.PermitRequest(
+            rate_by_target,
+            admitted.account or "",
+            admitted.priority,
+            0.0 if free and not is_resumed else max(0.0, max_wait_s),
+            is_resumed,
+        )
+        permit = await self._request_permit(admitted.service.name, request)
+        target_by_id = {target.target_id: target for target in targets}
+        if permit.target_id:
+            if permit.delay_s > 0:
+                self._log_outcome(admitted, "held", permit.target_id, permit.delay_s)
+                await asyncio.sleep(permit.delay_s)
+            return target_by_id.get(permit.target_id), 0.0
+        if free:
+            target = choose(free)
+            self._log_outcome(admitted, "moved", target.target_id, 0.0)
+            return target, 0.0
+        self._log_outcome(admitted, "denied", chosen.target_id, permit.retry_after_s)
+        return None, permit.retry_after_s
+
+    async def may_send(self, admitted, target) -> bool:
+        """Returns whether a request about a run may be sent to its engine now.
+
+        Args:
+            admitted: The `forwarder.AdmittedRequest` of the run.
+            target: The engine.
+        """
+        rate = self.table.rate_of(target, clock.now())
+        if rate is None:
+            return True
+        request = permits.PermitRequest({target.target_id: rate}, admitted.account or "")
+        permit = await self._request_permit(admitted.service.name, request)
+        return permit.target_id == target.target_id
+
+    def record_sent(self, target):
+        """Counts a request that is sent to a target with a limit."""
+        now = clock.now()
+        if self.table.rate_of(target, now) is None:
+            return
+        count = self._count_by_target.get(target.target_id)
+        if count is None:
+            count = retry.WindowCount(USE_WINDOW_SECONDS)
+            self._count_by_target[target.target_id] = count
+        count.add(now)
+
+    def _log_outcome(self, admitted, outcome, target_id, seconds):
+        self._metrics.count(f"limited_{outcome}")
+        self._log.line(
+            "gateway",
+            "limited",
+            request=admitted.caller.request_id,
+            outcome=outcome,
+            target=target_id,
+            seconds=seconds,
+            left=admitted.remaining_s(),
+        )
+
+    async def _request_permit(self, service, request):
+        now = clock.now()
+        failed_at = self._failed_at_by_service.get(service)
+        is_failing = failed_at is not None and now - failed_at < ISSUER_RETRY_SECONDS
+        if self.issue is None or is_failing:
+            return self._own_issuer.request(service, request, now)
+        future = asyncio.get_running_loop().create_future()
+        waiting = self._waiting_by_service.get(service)
+        if waiting is not None:
+            waiting.append((request, future))
+        else:
+            self._waiting_by_service[service] = [(request, future)]
+            self._spawn(self._ask_issuer(service))
+        return await future
+
+    async def _ask_issuer(self, service):
+        """Asks the issuer until no request for a permit is left."""
+        while waiting := self._waiting_by_service[service]:
+            batch, self._waiting_by_service[service] = waiting[:MAX_BATCH], waiting[MAX_BATCH:]
+            answers = await self.issue(service, [request for request, _ in batch])
+            if answers is None or len(answers) != len(batch):
+                answers = self._issue_own_share(service, batch)
+            for (_, future), permit in zip(batch, answers, strict=True):
+                if not future.done():
+                    future.set_result(permit)
+        del self._waiting_by_service[service]
+
+    def _issue_own_share(self, service, batch):
+        now = clock.now()
+        self._failed_at_by_service[service] = now
+        self._metrics.count("permits_without_issuer", len(batch))
+        self._log.line("gateway", "issuer_failed", service=service, requests=len(batch))
+        return [self._own_issuer.request(service, request, now) for request, _ in batch]
+
+    # Metrics.
+
+    def limit_by_target(self) -> dict:
+        """Returns the limits in requests per second by target, of a bounded number of targets."""
+        reports = self.table.in_force()[-MAX_METRIC_TARGETS:]
+        return {report.target_id: report.rate for report in reports}
+
+    def use_by_target(self) -> dict:
+        """Returns the rate at which this gateway sends requests to each of the same targets."""
+        now = clock.now()
+        rate_by_target = {}
+        for target_id in self.limit_by_target():
+            count = self._count_by_target.get(target_id)
+            rate_by_target[target_id] = count.total(now) / USE_WINDOW_SECONDS if count else 0.0
+        return rate_by_target
--- a/chiveswitch/forwarding/rate_limiter_test.py
+++ b/chiveswitch/forwarding/rate_limiter_test.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import pytest
-
 from chiveswitch.core import clock
 from chiveswitch.forwarding import forwarder_test
 
@@ -15,7 +13,6 @@
     return 1.5 * RATE * seconds + 5
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: limits of targets")
 def test_calls_go_to_other_targets_beyond_the_limit_that_a_target_names(tmp_path):
     # Guards against a target that gets far more requests than the limit that it has named.
     async def scenario(fixture):
@@ -33,7 +30,6 @@
     forwarder_test.run(scenario, tmp_path)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: limits of targets")
 def test_streams_go_to_other_engines_beyond_the_limit_that_an_engine_names(tmp_path):
     # Guards against the same for streams, whose heads name the limit long before their ends.
     async def scenario(fixture):
@@ -55,7 +51,6 @@
     forwarder_test.run(scenario, tmp_path)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: limits of targets")
 def test_what_the_limits_of_all_targets_do_not_permit_is_refused_at_once(tmp_path):
     # Guards against callers that wait until their deadline for a target that takes no more.
     async def scenario(fixture):
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -43,6 +43,9 @@
 # Rejections by engines after which a stream is refused. Each rejection costs a round trip. Each
 # round in which all engines were tried counts as one, too.
 MAX_REJECTIONS = 4
+# Share of the latency objective of the first event, and of the remaining time, for which a stream
+# waits for a permit.
+PERMIT_WAIT_SHARE = 0.4
 # Retry-After in seconds for a refused stream: about the time until a running stream ends.
 REJECTED_RETRY_AFTER_SECONDS = 1.0
 # Retry-After in seconds for a stream refused by a stopping gateway. The caller retries at another
@@ -94,6 +97,8 @@
         sent_at: Time at which the request of the present attempt was sent, in seconds of
             `core.clock`.
         quarantined_part: Part for which the present attempt is given up, or an empty string.
+        limited_for_s: Seconds after which the limits of the targets are expected to permit the
+            stream, 0 if they did not prevent the latest selection.
     """
 
     __slots__ = (
@@ -115,6 +120,7 @@
         "channel",
         "sent_at",
         "quarantined_part",
+        "limited_for_s",
     )
 
     def __init__(self, forwarder, admitted):
@@ -146,6 +152,7 @@
         self.channel = None
         self.sent_at = now
         self.quarantined_part = ""
+        self.limited_for_s = 0.0
 
     @property
     def is_past_start(self) -> bool:
@@ -220,27 +227,65 @@
         self.forwarder.run_table.put(run)
         self.forwarder.report_run(run)
 
-    def select_target(self):
-        """Returns (target, whether it holds the copy), or (None, False) without a usable target."""
+    async def select_target(self):
+        """Selects the next target and waits for its permit if it has a limit.
+
+        Sets `limited_for_s`.
+
+        Returns:
+            (target, whether it holds the copy), or (None, False) without a usable target.
+        """
         forwarder = self.forwarder
+        self.limited_for_s = 0.0
         if self.resumes_from_copy:
             self.resumes_from_copy = False
             holder = self.copy_manager.find_holder()
             if holder is not None and holder.target_id not in self.excluded_ids:
-                return holder, True
-        now = clock.now()
+                permitted = await self._wait_for_permit(holder, [holder], lambda targets: None)
+                if permitted is not None:
+                    return permitted, True
         targets = [
             each
             for each in forwarder.target_table.ready_targets(self.admitted.service.name)
             if each.target_id not in self.excluded_ids
         ]
+        loads = forwarder.run_table.load_by_target(clock.now())
+
+        def choose(candidates):
+            return self._choose_target(candidates, loads)
+
+        return await self._wait_for_permit(choose(targets), targets, choose), False
+
+    def _choose_target(self, targets, loads):
+        """Returns the best one of some targets, or None.
+
+        Args:
+            targets: Targets that may be chosen.
+            loads: Result of `placement.RunTable.load_by_target`.
+        """
+        forwarder, now = self.forwarder, clock.now()
         engine = self.admitted.service.engine
         if engine is None:
-            return placement.choose_target(targets, forwarder.zone, now, forwarder.rng), False
-        loads = forwarder.run_table.load_by_target(now)
+            return placement.choose_target(targets, forwarder.zone, now, forwarder.rng)
         session = self.run.session or self.admitted.caller.request_id
-        chosen = placement.choose_engine(targets, loads, engine, self.run.tokens, session, now)
-        return chosen, False
+        return placement.choose_engine(targets, loads, engine, self.run.tokens, session, now)
+
+    async def _wait_for_permit(self, chosen, targets, choose):
+        """Returns the chosen target, or another one if its limit does not permit the stream."""
+        admitted = self.admitted
+        limiter = self.forwarder.limiter
+        if chosen is None or not limiter.is_limited(chosen):
+            return chosen
+        is_resumed = self.buffer.last_id is not None
+        if is_resumed:
+            max_wait_s = self.max_gap_s
+        else:
+            max_wait_s = PERMIT_WAIT_SHARE * admitted.route.objective_s
+        max_wait_s = min(max_wait_s, PERMIT_WAIT_SHARE * admitted.remaining_s())
+        target, self.limited_for_s = await limiter.select_permitted(
+            admitted, chosen, targets, choose, max_wait_s, is_resumed
+        )
+        return target
 
     def estimate_remaining_s(self) -> float:
         """Returns the seconds until the stream ends, estimated from its event rate so far."""
@@ -284,7 +329,7 @@
         admitted.send_count += 1
         self.sent_at = clock.now()
         self.buffer.restart()
-        forwarder.log_sent(
+        forwarder.record_sent(
             admitted,
             target,
             from_copy=int(from_copy),
@@ -575,9 +620,13 @@
             reason = f"needs {least_s:.3f} s of {admitted.remaining_s():.3f} s"
             too_late = True
             break
-        target, from_copy = stream.select_target()
+        target, from_copy = await stream.select_target()
         if target is None:
-            if not stream.excluded_ids or rejection_count >= MAX_REJECTIONS:
+            is_limited = stream.limited_for_s > 0
+            if is_limited:
+                reason = "the limits of all engines are used up"
+            may_wait = stream.excluded_ids or (is_limited and stream.buffer.last_id is not None)
+            if not may_wait or rejection_count >= MAX_REJECTIONS:
                 break
             # Targets that failed earlier may have recovered.
             stream.excluded_ids.clear()
@@ -667,4 +716,7 @@
         # A retry cannot succeed, because no gateway can meet the deadline.
         forwarder.fail_request(admitted, codes.Code.WAIT_EXPIRED, reason)
         return
+    if stream.limited_for_s > 0:
+        forwarder.fail_request(admitted, codes.Code.TARGETS_LIMITED, reason, stream.limited_for_s)
+        return
     forwarder.fail_request(admitted, codes.Code.QUEUE_FULL, reason, REJECTED_RETRY_AFTER_SECONDS)
--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -7,11 +7,12 @@
 
 import asyncio
 import collections
+import math
 import secrets
 
 import expression
 
-from chiveswitch.core import clock, prompt_quarantine, target_table
+from chiveswitch.core import clock, prompt_quarantine, rate_limits, target_table
 from chiveswitch.peers import strict
 
 hub_thrift = strict.load("hub.thrift")
@@ -42,10 +43,16 @@
     "runs": 30.0,
     "losses": 0.6,
     "prompts": prompt_quarantine.EVIDENCE_SECONDS,
+    "limits": rate_limits.EXPIRY_SECONDS,
 }
+# Kinds whose reports state the age of what they report, and the fields with ages in milliseconds.
+AGED_KINDS = frozenset(("prompts", "limits"))
+AGE_FIELDS = ("age_ms", "since_ms")
 # Reports of prompts beyond this number replace the oldest ones.
 MAX_PROMPT_REPORTS = 1000
 OUTCOMES = frozenset(int(outcome) for outcome in prompt_quarantine.Outcome)
+# Shortest time between two published reports that confirm a target's limit.
+LIMIT_INTERVAL_SECONDS = rate_limits.CONFIRM_SECONDS / 2
 # Shortest time between two published reports that responses with a part of a prompt begin.
 BEGINNING_INTERVAL_SECONDS = 0.5
 # Delay between a change and the answers to the waiting watches: BATCH_SECONDS_PER_NODE for each of
@@ -252,6 +259,30 @@
         self._put(key, "prompts", report)
         self._entry_by_key[key].last_report_at = happened_at
 
+    def record_limit_report(self, report):
+        """Records what a response of a target said about its limit, unless a later one is known.
+
+        Reports that confirm an unchanged limit are published at intervals.
+
+        Args:
+            report: A LimitReport of `hub_thrift`, whose ages are counted from now.
+        """
+        if not 0 <= report.rate < math.inf:
+            return
+        key = ("limits", report.target_id)
+        happened_at = self._now() - report.age_ms / MS_PER_SECOND
+        stored = self._entry_by_key.get(key)
+        if stored is not None:
+            known = stored.report
+            if (known.born_ms, stored.last_report_at) >= (report.born_ms, happened_at):
+                return
+            known_content = (known.born_ms, known.limited, known.rate)
+            is_unchanged = known_content == (report.born_ms, report.limited, report.rate)
+            if is_unchanged and happened_at - stored.last_report_at < LIMIT_INTERVAL_SECONDS:
+                return
+        self._put(key, "limits", report)
+        self._entry_by_key[key].last_report_at = happened_at
+
     def _put(self, key, kind, report):
         self.position += 1
         # The dict keeps the order of insertion, so that entries stay sorted by position.
@@ -398,6 +429,7 @@
             runs=[],
             losses=[],
             prompts=None,
+            limits=None,
         )
         if watch.wants_bundle and published.version > watch.known_version:
             answer.content = published.content
@@ -408,17 +440,27 @@
         for entry in reversed(self._entry_by_key.values()):
             if entry.position <= position:
                 break
-            if entry.kind == "prompts":
-                # The field is missing if there are no such reports, as in earlier versions.
-                answer.prompts = answer.prompts or []
-                answer.prompts.append(self._aged_prompt_report(entry))
+            if entry.kind not in AGED_KINDS:
+                getattr(answer, entry.kind).append(entry.report)
                 continue
-            getattr(answer, entry.kind).append(entry.report)
+            # These fields are missing if there are no such reports, as in earlier versions.
+            if getattr(answer, entry.kind) is None:
+                setattr(answer, entry.kind, [])
+            getattr(answer, entry.kind).append(self._aged_report(entry))
         return answer
 
-    def _aged_prompt_report(self, entry):
+    def _aged_report(self, entry):
         age_ms = int((self._now() - entry.last_report_at) * MS_PER_SECOND)
-        return hub_thrift.PromptReport(**{**vars(entry.report), "age_ms": max(0, age_ms)})
+        return add_age(entry.report, max(0, age_ms) - entry.report.age_ms)
+
+
+def add_age(report, more_ms: int):
+    """Returns a PromptReport or LimitReport of `hub_thrift` with higher ages, in milliseconds."""
+    fields = dict(vars(report))
+    for name in AGE_FIELDS:
+        if name in fields:
+            fields[name] += more_ms
+    return type(report)(**fields)
 
 
 def to_table_report(record) -> target_table.Report:
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -28,6 +28,21 @@
   3: required string target_id, 4: required i64 age_ms }
 struct PromptReports { 1: required list<PromptReport> reports }
 
+// What a response of a target said about the rate of requests that it takes: `rate` in requests per
+// second if `limited`, else 0. age_ms and since_ms: time since the response, and since the first one
+// that named a limit, when the message is sent.
+struct LimitReport { 1: required string target_id, 2: required i64 born_ms, 3: required bool limited,
+  4: required double rate, 5: required i64 age_ms, 6: required i64 since_ms, 7: required string source }
+struct LimitReports { 1: required list<LimitReport> reports }
+
+// Requests for permits to send to targets with a limit. A permit without target is refused.
+struct PermitTarget { 1: required string target_id, 2: required double rate }
+struct PermitRequest { 1: required list<PermitTarget> targets, 2: required string account,
+  3: required i32 priority, 4: required i32 max_wait_ms, 5: required bool resumed }
+struct PermitRequests { 1: required string service_name, 2: required list<PermitRequest> requests }
+struct Permit { 1: required string target_id, 2: required i32 delay_ms, 3: required i32 retry_after_ms }
+struct Permits { 1: required list<Permit> permits }
+
 struct Watch { 1: required NodeReport node, 2: required i64 hub_incarnation, 3: required i64 position,
   4: required i64 known_version, 5: required bool wants_bundle, 6: required list<RunReport> runs,
   7: required list<LossReport> losses }
@@ -35,7 +50,8 @@
   4: required i64 members_index, 5: required list<string> hubs, 6: required i64 version,
   7: required binary content, 8: required binary signature, 9: required list<TargetReport> targets,
   10: required list<NodeReport> nodes, 11: required list<RunReport> runs,
-  12: required list<LossReport> losses, 13: optional list<PromptReport> prompts }
+  12: required list<LossReport> losses, 13: optional list<PromptReport> prompts,
+  14: optional list<LimitReport> limits }
 
 struct Report { 1: required TargetReport target }
 struct ReportAnswer { 1: required bool accepted, 2: required string hub_address }
--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -19,9 +19,10 @@
 REACHABLE_SECONDS = 2.0
 # Time after which one more hub is asked for a newer bundle that has not arrived.
 BUNDLE_TIMEOUT_SECONDS = 0.3
-# Time to wait for a hub's acknowledgement of reports of prompts, and number of hubs that are tried.
-PROMPT_REPORT_TIMEOUT_SECONDS = 0.3
-MAX_PROMPT_REPORT_ATTEMPTS = 10
+# Time to wait for a hub's acknowledgement of reports of prompts or limits, and number of hubs that
+# are tried.
+REPORT_TIMEOUT_SECONDS = 0.3
+MAX_REPORT_ATTEMPTS = 10
 # Reports of runs and losses are collected for this time and sent together.
 REPORT_BATCH_SECONDS = 0.02
 
@@ -102,9 +103,10 @@
         Args:
             view: The node's view: `node_report()` returns the own NodeReport, `known_version()` the
                 version of the bundle, and `apply_target_reports`, `apply_node_reports`,
-                `apply_run_reports`, `apply_loss_reports`, `apply_prompt_reports`, `apply_bundle`,
-                `discard_hub_reports` and `log_hub_state` apply what was received;
-                `held_prompt_reports` returns the PromptReports of quarantines in force;
+                `apply_run_reports`, `apply_loss_reports`, `apply_prompt_reports`,
+                `apply_limit_reports`, `apply_bundle`, `discard_hub_reports` and `log_hub_state`
+                apply what was received; `held_prompt_reports` returns the PromptReports of
+                quarantines in force, and `limits_in_force` the LimitReports;
                 `log_watch_timeout`, `log_bundle_announced` and `log_bundle_requested` log the
                 watches.
             seeds: Peer addresses from the settings, watched until the members are known.
@@ -170,28 +172,53 @@
         Args:
             reports: List of PromptReport of `hub_thrift`.
         """
+        await self._report(kinds.Kind.HUB_REPORT_PROMPTS, hub_thrift.PromptReports, reports)
+
+    async def report_limits(self, reports: list):
+        """Sends reports of limits until a hub has acknowledged them.
+
+        Args:
+            reports: List of LimitReport of `hub_thrift`.
+        """
+        await self._report(kinds.Kind.HUB_REPORT_LIMITS, hub_thrift.LimitReports, reports)
+
+    async def _report(self, kind, message_class, reports):
         sent_at = clock.now()
-        for _ in range(MAX_PROMPT_REPORT_ATTEMPTS):
+        for _ in range(MAX_REPORT_ATTEMPTS):
             states = self.reachable_hubs()
             if not states:
                 await asyncio.sleep(RETRY_PAUSE_SECONDS)
                 continue
             age_ms = int((clock.now() - sent_at) * hub.MS_PER_SECOND)
-            aged_reports = [
-                hub_thrift.PromptReport(**{**vars(each), "age_ms": each.age_ms + age_ms})
-                for each in reports
-            ]
-            result = await self._send_prompt_reports(self._rng.choice(states), aged_reports)
+            aged_reports = [hub.add_age(each, age_ms) for each in reports]
+            state = self._rng.choice(states)
+            result = await self._send_reports_to(state, kind, message_class, aged_reports)
             if result.is_ok():
                 return
-        log.warning("peers: no hub acknowledged %s reports of prompts", len(reports))
+        log.warning("peers: no hub acknowledged %s of %s", len(reports), message_class.__name__)
 
-    async def _send_prompt_reports(self, state, reports):
-        return await state.link.call(
-            kinds.Kind.HUB_REPORT_PROMPTS,
-            strict.encode(hub_thrift.PromptReports(reports=reports)),
-            PROMPT_REPORT_TIMEOUT_SECONDS,
-        )
+    async def _send_reports_to(self, state, kind, message_class, reports):
+        message = strict.encode(message_class(reports=reports))
+        return await state.link.call(kind, message, REPORT_TIMEOUT_SECONDS)
+
+    async def request_permits(self, address: str, service: str, requests: list, timeout_s: float):
+        """Asks a hub for permits to send requests to targets with a limit.
+
+        Args:
+            address: Peer address of a reachable hub.
+            service: Service of the targets.
+            requests: List of PermitRequest of `hub_thrift`.
+            timeout_s: Longest time in seconds to wait for the answer.
+
+        Returns:
+            Ok with the list of Permit of `hub_thrift`, or the failure.
+        """
+        message = hub_thrift.PermitRequests(service_name=service, requests=requests)
+        link = self.state_by_address[address].link
+        result = await link.call(kinds.Kind.HUB_PERMITS, strict.encode(message), timeout_s)
+        if result.is_ok():
+            result = strict.decode(hub_thrift.Permits, result.ok)
+        return result.map(lambda answer: answer.permits)
 
     def _schedule_reports(self):
         if self._report_timer is None:
@@ -226,11 +253,23 @@
             asyncio.get_running_loop().create_task(state.link.close())
             self._view.discard_hub_reports(address)
 
-    def _restore_prompt_reports(self, state):
-        """Tells a hub that has restarted which crashes led to quarantines that are in force."""
-        reports = self._view.held_prompt_reports()
-        if reports:
-            task = asyncio.get_running_loop().create_task(self._send_prompt_reports(state, reports))
+    def _restore_reports(self, state):
+        """Tells a hub that has restarted which quarantines and limits are in force."""
+        prompts = (
+            kinds.Kind.HUB_REPORT_PROMPTS,
+            hub_thrift.PromptReports,
+            self._view.held_prompt_reports(),
+        )
+        limits = (
+            kinds.Kind.HUB_REPORT_LIMITS,
+            hub_thrift.LimitReports,
+            self._view.limits_in_force(),
+        )
+        for kind, message_class, reports in (prompts, limits):
+            if not reports:
+                continue
+            sending = self._send_reports_to(state, kind, message_class, reports)
+            task = asyncio.get_running_loop().create_task(sending)
             self._restore_tasks.add(task)
             task.add_done_callback(self._restore_tasks.discard)
 
@@ -347,7 +386,7 @@
             self._view.discard_hub_reports(state.address)
             state.incarnation = answer.hub_incarnation
             if answer.is_hub:
-                self._restore_prompt_reports(state)
+                self._restore_reports(state)
         if answer.is_hub:
             state.position = answer.position
         if answer.content:
@@ -360,4 +399,5 @@
         self._view.apply_run_reports(reversed(answer.runs))
         self._view.apply_loss_reports(reversed(answer.losses))
         self._view.apply_prompt_reports(reversed(answer.prompts or []))
+        self._view.apply_limit_reports(reversed(answer.limits or []))
         self.update_members(hub.Members(answer.members_index, answer.hubs))
--- a/chiveswitch/peers/kinds.py
+++ b/chiveswitch/peers/kinds.py
@@ -20,3 +20,5 @@
     HUB_REPORT = 51
     HUB_REPORT_RUNS = 52
     HUB_REPORT_PROMPTS = 53
+    HUB_REPORT_LIMITS = 54
+    HUB_PERMITS = 55
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -29,7 +29,7 @@
 from chiveswitch.forwarding import calls, forwarder, http_server, streams
 from chiveswitch.peers import control_client, control_server, hub, hub_watch, kinds, links, strict
 from chiveswitch.storage import data_folder, files
-from chiveswitch.tools import node_view
+from chiveswitch.tools import node_limits, node_view
 
 log = logging.getLogger("chiveswitch.node")
 
@@ -133,6 +133,7 @@
         "_stopping",
         "_incarnation",
         "_was_ready",
+        "_limit_exchange",
     )
 
     def __init__(self, settings, dialect, listeners: list):
@@ -176,11 +177,12 @@
         self.view.on_prompt_report = self._on_prompt_report
         self.view.held_prompt_reports = self._held_prompt_reports
         self.forwarder.report_prompt = self._report_prompt
+        self._limit_exchange = node_limits.LimitExchange(self, self._rng)
         self.hub = hub.Hub(
             settings.heartbeat_s,
             self._current_members,
             lambda: self.view.published,
-            self._is_member,
+            self.is_member,
             self._on_hub_changed,
         )
         self.control = None
@@ -309,6 +311,7 @@
             kinds.Kind.HUB_REPORT: self._serve_report,
             kinds.Kind.HUB_REPORT_RUNS: self._serve_runs,
             kinds.Kind.HUB_REPORT_PROMPTS: self._serve_prompts,
+            **self._limit_exchange.handler_by_kind,
         }
         host, _, port = settings.peer_address.rpartition(":")
         if not settings.data_folder:
@@ -338,6 +341,10 @@
         gauges["log_lines_dropped"] = lambda: self.log.dropped
         gauges["hubs_reachable"] = lambda: len(self.watcher.reachable_hubs())
         gauges["prompts_in_quarantine"] = self.forwarder.quarantine.held_count
+        limiter = self.forwarder.limiter
+        gauges["targets_limited"] = lambda: len(limiter.table.in_force())
+        self.metrics.target_gauge_by_name["target_limit"] = limiter.limit_by_target
+        self.metrics.target_gauge_by_name["target_limit_use"] = limiter.use_by_target
         gauges["stream_moves_false"] = lambda: self.forwarder.detector.false_moves
 
     def _api_handler(self, listener):
@@ -357,7 +364,7 @@
 
     def _has_current_targets(self):
         return bool(self.table.target_by_id) and bool(
-            self.watcher.reachable_hubs() or self._is_member()
+            self.watcher.reachable_hubs() or self.is_member()
         )
 
     def _update_state(self):
@@ -371,7 +378,7 @@
         self.view.state = state
         self.log.line("node", "state", ready=int(ready), bundle=self.view.published.version)
         report = self.view.node_report()
-        if self._is_member():
+        if self.is_member():
             self.hub.record_node_report(report)
         self.watcher.send_node_state()
 
@@ -393,7 +400,8 @@
             else watched_members
         )
 
-    def _is_member(self) -> bool:
+    def is_member(self) -> bool:
+        """Returns whether this node is a control member and thus a hub."""
         return self.settings.peer_address in self._current_members().addresses
 
     def _apply_control_state(self):
@@ -421,12 +429,15 @@
         if kind == "prompts":
             self.view.apply_prompt_reports([entry.report])
             return
+        if kind == "limits":
+            self.view.apply_limit_reports([entry.report])
+            return
         self.view.apply_loss_reports([entry.report])
 
     def _on_target_removed(self, target_id):
         self.forwarder.pool.close_target(target_id)
         self.forwarder.detector.forget_engine(target_id)
-        self.forwarder.limiter.table.forget(target_id)
+        self.forwarder.limiter.forget(target_id)
 
     def _report_run(self, run):
         report = hub.hub_thrift.RunReport(
@@ -440,7 +451,7 @@
             sequence=run.sequence,
             copy_reference=run.copy_reference,
         )
-        if self._is_member():
+        if self.is_member():
             self.hub.record_run_report(report)
             return
         self.watcher.report_run(report)
@@ -449,14 +460,14 @@
         report = hub.hub_thrift.LossReport(
             target_id=target_id, node=self.settings.name, at_ms=int(clock.now() * 1000)
         )
-        if self._is_member():
+        if self.is_member():
             self.hub.record_loss_report(report)
             return
         self.watcher.report_loss(report)
 
     def _report_prompt(self, report):
         wire_report = _wire_prompt_report(report)
-        if self._is_member():
+        if self.is_member():
             self.hub.record_prompt_report(wire_report)
             return
         self.forwarder.spawn(self.watcher.report_prompts([wire_report]))
@@ -485,7 +496,8 @@
             self.forwarder.retry_budgets.gateway_count = gateway_count
             self.forwarder.quarantine.gateway_count = gateway_count
             self.forwarder.quarantine.sweep(now)
-            self.forwarder.limiter.table.sweep(now)
+            self.forwarder.limiter.sweep(gateway_count, now)
+            self._limit_exchange.sweep(now)
             self._update_state()
             self._update_members()
 
@@ -522,7 +534,7 @@
         Returns:
             Ok with the peer address of the hub that accepted it; CONTROL_UNAVAILABLE if none did.
         """
-        if self._is_member():
+        if self.is_member():
             if self._accept_report(report):
                 return expression.Ok(self.settings.peer_address)
         hub_states = self.watcher.reachable_hubs()
@@ -554,7 +566,7 @@
         decoded = strict.decode(hub.hub_thrift.Report, payload)
         if decoded.is_error():
             return decoded
-        accepted = self._is_member() and self._accept_report(decoded.ok.target)
+        accepted = self.is_member() and self._accept_report(decoded.ok.target)
         answer = hub.hub_thrift.ReportAnswer(
             accepted=accepted, hub_address=self.settings.peer_address
         )
@@ -564,7 +576,7 @@
         decoded = strict.decode(hub.hub_thrift.Watch, payload)
         if decoded.is_error():
             return decoded
-        if self._is_member():
+        if self.is_member():
             self.hub.record_node_report(decoded.ok.node)
             self.hub.record_watch_reports(decoded.ok)
         return expression.Ok(b"")
@@ -573,7 +585,7 @@
         decoded = strict.decode(hub.hub_thrift.PromptReports, payload)
         if decoded.is_error():
             return decoded
-        if not self._is_member():
+        if not self.is_member():
             return codes.failure(codes.Code.NOT_LEADER, "This node is no hub.")
         for report in decoded.ok.reports:
             self.hub.record_prompt_report(report)
@@ -658,7 +670,7 @@
             hub itself, its link is fast enough, or no hub is reachable.
         """
         link_rate = self.settings.link_bytes_per_s
-        if not link_rate or size <= link_rate * MAX_DOCUMENT_SECONDS or self._is_member():
+        if not link_rate or size <= link_rate * MAX_DOCUMENT_SECONDS or self.is_member():
             return ""
         hubs = self.watcher.reachable_hubs()
         newest_version = max((state.version for state in hubs), default=0)
--- /dev/null
+++ b/chiveswitch/tools/node_limits.py
@@ -0,0 +1,205 @@
+"""A node's exchange of limits and permits with the hubs.
+
+Every hub is the issuer of some services' permits. Reports of limits reach all nodes through any
+hub.
+"""
+
+import math
+
+import expression
+
+from chiveswitch.core import clock, codes, permits, rate_limits
+from chiveswitch.peers import hub, kinds, strict
+
+hub_thrift = hub.hub_thrift
+
+# Timeout in seconds of a request for permits. The gateway uses its own share of a limit after that.
+PERMIT_TIMEOUT_SECONDS = 0.15
+# Seconds without contact to the control leader after which a hub issues no permits: the hub may be
+# cut off from the gateways, which then ask another one.
+MAX_LEADER_SILENCE_SECONDS = 2.0
+
+
+class LimitExchange:
+    """Sends and receives a node's reports of limits and requests for permits.
+
+    Attributes:
+        handler_by_kind: Handlers of the messages of other nodes, by kind.
+    """
+
+    __slots__ = ("handler_by_kind", "_node", "_issuer")
+
+    def __init__(self, node, rng):
+        """Connects the limiter of a node's gateway with the hubs.
+
+        Args:
+            node: The `node.Node`.
+            rng: Random number generator.
+        """
+        self.handler_by_kind = {
+            kinds.Kind.HUB_REPORT_LIMITS: self._serve_limits,
+            kinds.Kind.HUB_PERMITS: self._serve_permits,
+        }
+        self._node = node
+        self._issuer = permits.PermitIssuer(rng)
+        node.forwarder.limiter.connect(self._request_permits, self._report_limit)
+        node.view.on_limit_report = self._apply_report
+        node.view.limits_in_force = self._limits_in_force
+
+    def sweep(self, now: float):
+        """Drops what the issuer has not used lately."""
+        self._issuer.sweep(now)
+
+    # Reports of limits.
+
+    def _report_limit(self, report):
+        node = self._node
+        wire_report = _encode_report(report)
+        if node.is_member():
+            node.hub.record_limit_report(wire_report)
+            return
+        node.forwarder.spawn(node.watcher.report_limits([wire_report]))
+
+    def _limits_in_force(self):
+        return [_encode_report(each) for each in self._node.forwarder.limiter.table.in_force()]
+
+    def _apply_report(self, wire_report):
+        now = clock.now()
+        report = rate_limits.Report(
+            wire_report.target_id,
+            wire_report.born_ms,
+            wire_report.rate if wire_report.limited else None,
+            now - wire_report.age_ms / hub.MS_PER_SECOND,
+            now - wire_report.since_ms / hub.MS_PER_SECOND,
+            wire_report.source,
+        )
+        self._node.forwarder.limiter.table.apply_report(report, now)
+
+    def _serve_limits(self, payload, _trace):
+        decoded = strict.decode(hub_thrift.LimitReports, payload)
+        if decoded.is_error():
+            return decoded
+        if not self._node.is_member():
+            return codes.failure(codes.Code.NOT_LEADER, "This node is no hub.")
+        for report in decoded.ok.reports:
+            self._node.hub.record_limit_report(report)
+        return expression.Ok(b"")
+
+    # Permits.
+
+    def _issuer_address(self, service) -> str:
+        """Returns the address of the hub that issues the permits of a service, "" for none."""
+        node = self._node
+        addresses = [state.address for state in node.watcher.reachable_hubs()]
+        if node.is_member():
+            addresses.append(node.settings.peer_address)
+        return permits.choose_issuer(service, addresses) if addresses else ""
+
+    async def _request_permits(self, service, requests):
+        """Returns the list of `permits.Permit` for some `permits.PermitRequest`, or None."""
+        address = self._issuer_address(service)
+        if not address:
+            return None
+        if address == self._node.settings.peer_address:
+            return self._issue(service, requests)
+        wire_requests = [_encode_request(request) for request in requests]
+        result = await self._node.watcher.request_permits(
+            address, service, wire_requests, PERMIT_TIMEOUT_SECONDS
+        )
+        return [_decode_permit(each) for each in result.ok] if result.is_ok() else None
+
+    def _issue(self, service, requests):
+        """Returns the permits for a list of `permits.PermitRequest`, or None if not responsible."""
+        node = self._node
+        now = clock.now()
+        silence_s = node.control.node.seconds_since_leader_contact(now)
+        is_issuer = self._issuer_address(service) == node.settings.peer_address
+        if silence_s > MAX_LEADER_SILENCE_SECONDS or not is_issuer:
+            node.log.line("hub", "permits_refused", service=service, leader_silence=silence_s)
+            return None
+        issued = []
+        for request in requests:
+            self._update_rates(request, now)
+            issued.append(self._issuer.request(service, request, now))
+        granted_count = sum(bool(permit.target_id) for permit in issued)
+        node.metrics.count("permits_granted", granted_count)
+        node.metrics.count("permits_denied", len(issued) - granted_count)
+        return issued
+
+    def _update_rates(self, request, now):
+        """Replaces the limits that a gateway knows by those that this hub knows."""
+        for target_id in request.rate_by_target:
+            target = self._node.table.find(target_id)
+            if target is None:
+                continue
+            rate = self._node.forwarder.limiter.table.rate_of(target, now)
+            if rate is not None:
+                request.rate_by_target[target_id] = rate
+
+    def _serve_permits(self, payload, _trace):
+        decoded = strict.decode(hub_thrift.PermitRequests, payload)
+        if decoded.is_error():
+            return decoded
+        requests = [_decode_request(each) for each in decoded.ok.requests]
+        service = decoded.ok.service_name
+        issued = self._issue(service, requests) if self._node.is_member() else None
+        if issued is None:
+            return codes.failure(codes.Code.NOT_LEADER, "This node does not issue these permits.")
+        answer = hub_thrift.Permits(permits=[_encode_permit(permit) for permit in issued])
+        return expression.Ok(strict.encode(answer))
+
+
+def _encode_report(report):
+    now = clock.now()
+    return hub_thrift.LimitReport(
+        target_id=report.target_id,
+        born_ms=report.born_ms,
+        limited=report.rate is not None,
+        rate=report.rate or 0.0,
+        age_ms=int((now - report.at) * hub.MS_PER_SECOND),
+        since_ms=int((now - report.since) * hub.MS_PER_SECOND),
+        source=report.source,
+    )
+
+
+def _encode_request(request):
+    targets = []
+    for target_id, rate in request.rate_by_target.items():
+        targets.append(hub_thrift.PermitTarget(target_id=target_id, rate=rate))
+    return hub_thrift.PermitRequest(
+        targets=targets,
+        account=request.account,
+        priority=request.priority,
+        max_wait_ms=int(request.max_wait_s * hub.MS_PER_SECOND),
+        resumed=request.is_resumed,
+    )
+
+
+def _decode_request(wire_request):
+    rate_by_target = {}
+    for target in wire_request.targets:
+        if 0 <= target.rate < math.inf:
+            rate_by_target[target.target_id] = target.rate
+    return permits.PermitRequest(
+        rate_by_target,
+        wire_request.account,
+        wire_request.priority,
+        wire_request.max_wait_ms / hub.MS_PER_SECOND,
+        wire_request.resumed,
+    )
+
+
+def _encode_permit(permit):
+    return hub_thrift.Permit(
+        target_id=permit.target_id,
+        delay_ms=math.ceil(permit.delay_s * hub.MS_PER_SECOND),
+        retry_after_ms=math.ceil(permit.retry_after_s * hub.MS_PER_SECOND),
+    )
+
+
+def _decode_permit(wire_permit):
+    return permits.Permit(
+        wire_permit.target_id,
+        wire_permit.delay_ms / hub.MS_PER_SECOND,
+        wire_permit.retry_after_ms / hub.MS_PER_SECOND,
+    )
--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -617,7 +617,6 @@
     run_with_cluster(tmp_path, scenario)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: limits of targets")
 def test_all_nodes_together_keep_to_the_limit_that_a_target_names(tmp_path):
     # Guards against gateways each of which sends a target as much as it takes from all of them.
     async def scenario(cluster, fleet):
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -45,6 +45,8 @@
         on_prompt_report: Called with each received PromptReport of `hub_thrift`.
         held_prompt_reports: Function that returns the PromptReports that led to quarantines in
             force.
+        on_limit_report: Called with each received LimitReport of `hub_thrift`.
+        limits_in_force: Function that returns the LimitReports of limits in force.
     """
 
     __slots__ = (
@@ -54,6 +56,8 @@
         "on_bundle",
         "on_prompt_report",
         "held_prompt_reports",
+        "on_limit_report",
+        "limits_in_force",
         "_settings",
         "_incarnation",
         "_table",
@@ -71,6 +75,8 @@
         self.on_bundle = on_bundle
         self.on_prompt_report = lambda report: None
         self.held_prompt_reports = list
+        self.on_limit_report = lambda report: None
+        self.limits_in_force = list
         self._settings = settings
         self._incarnation = incarnation
         self._table = table
@@ -205,6 +211,11 @@
         for report in reports:
             self.on_prompt_report(report)
 
+    def apply_limit_reports(self, reports):
+        """Passes reports of limits on to `on_limit_report`."""
+        for report in reports:
+            self.on_limit_report(report)
+
     def discard_hub_reports(self, hub_address: str):
         """Discards all reports of a hub that has restarted or is no longer watched."""
         self._table.reset_hub(hub_address)
