Never send a request again on a connection that has answered it

Callers of unrepeatable calls got 503 for calls that had run, or their calls ran twice: a target rejects a call, gets it again on the kept connection, writes its earlier rejection once more and runs the call. The copy bears the same request id and was taken for the second response.

Cause: a response is told from a late copy by the request id alone, which is the same for a request that is sent again. A channel now keeps the ids of requests that it has answered and that may come again, and the pool gives them another channel (closed after 64 such ids). The class was looked for elsewhere: answers about copies have no id at all, so that an earlier one gave two runs the same copy; these requests use a connection of their own. Streams are aborted after each attempt, liveness probes send nothing; a response that arrives without a request fails the channel as before.

--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -64,7 +64,11 @@
             await asyncio.sleep(min(REJECTED_BACKOFF_SECONDS, max(0.0, admitted.remaining_s())))
             continue
         channel = await forwarder.pool.acquire(
-            target.target_id, target.address, not repeatable, admitted.remaining_s()
+            target.target_id,
+            target.address,
+            not repeatable,
+            admitted.remaining_s(),
+            admitted.caller.request_id,
         )
         if channel is None:
             forwarder.target_table.record_loss(target, clock.now())
@@ -221,13 +225,15 @@
         return SendOutcome(None, False, reason)
     is_failure = response.status >= 500
     is_match = channel.matches_request(admitted.caller.request_id)
+    response_info = forwarder.process_response(target, response)
+    if response_info.not_run or is_failure:
+        channel.answered_ids.add(admitted.caller.request_id)
     if not is_match:
         channel.abort()
     elif response.complete:
         forwarder.pool.release(channel)
     elif is_failure or response.status in UNPROVEN_STATUSES:
         channel.abort()
-    response_info = forwarder.process_response(target, response)
     if is_match:
         forwarder.limiter.observe_response(target, response_info, started)
     if response_info.not_run and is_match:
--- a/chiveswitch/forwarding/channel.py
+++ b/chiveswitch/forwarding/channel.py
@@ -16,6 +16,8 @@
 MAX_FRAMING_BYTES = 64 * 1024
 # Largest number of responses to other requests that are skipped before the expected one.
 MAX_STRAY_RESPONSES = 4
+# Number of unusable request ids after which a channel is not reused any more.
+MAX_ANSWERED_IDS = 64
 
 
 class Response:
@@ -52,6 +54,8 @@
         last_used_at: Time at which its last response ended, in seconds of `core.clock`.
         idle_limit_s: Seconds for which the target keeps an idle connection open, or None if not
             stated.
+        answered_ids: Ids of requests that may be sent again, but not on this channel: a late copy
+            of the response to the first one would be taken for the response to the second one.
     """
 
     def __init__(self, address: str, target_id: str):
@@ -61,6 +65,7 @@
         self.failure_reason = ""
         self.last_used_at = clock.now()
         self.idle_limit_s = None
+        self.answered_ids = set()
         self._request_id_header = None
         self._stray_count = 0
         self._request_count = 0
@@ -284,6 +289,7 @@
             and self._is_reusable
             and not self._is_close_delimited
             and not self.failure_reason
+            and len(self.answered_ids) < MAX_ANSWERED_IDS
         )
         if not usable:
             self.abort()
--- a/chiveswitch/forwarding/channel_test.py
+++ b/chiveswitch/forwarding/channel_test.py
@@ -116,16 +116,16 @@
         host, _, port = address.rpartition(":")
         server = await asyncio.start_server(serve, host, int(port))
         channel_pool = pool.ChannelPool()
-        first = await channel_pool.acquire("t", address, True, 1.0)
+        first = await channel_pool.acquire("t", address, True, 1.0, "r")
         first.send(b"GET / HTTP/1.1\r\n\r\n", ("x-request-id", "mine"))
         await first.read_response(clock.now() + 1.0)
         channel_pool.release(first)
-        assert await channel_pool.acquire("t", address, True, 1.0) is first
+        assert await channel_pool.acquire("t", address, True, 1.0, "r") is first
         channel_pool.release(first)
         first.last_used_at -= pool.FRESH_IDLE_SECONDS + 0.1
-        second = await channel_pool.acquire("t", address, True, 1.0)
+        second = await channel_pool.acquire("t", address, True, 1.0, "r")
         assert second is not first
-        assert await channel_pool.acquire("t", address, False, 1.0) is first
+        assert await channel_pool.acquire("t", address, False, 1.0, "r") is first
         second.abort()
         server.close()
 
--- a/chiveswitch/forwarding/copies.py
+++ b/chiveswitch/forwarding/copies.py
@@ -183,16 +183,13 @@
             return None
         pool = self._forwarder.pool
         until = clock.now() + timeout_s
-        channel = await pool.acquire(target.target_id, target.address, False, timeout_s)
+        # The response has no id, so that a late one to an earlier request could not be told apart.
+        channel = await pool.open(target.target_id, target.address, timeout_s)
         if channel is None:
             return None
         self._forwarder.limiter.record_sent(target)
         channel.send(data, NO_REQUEST_ID_HEADER)
         try:
-            response = await channel.read_response(until)
+            return await channel.read_response(until)
         finally:
-            if channel.response.complete:
-                pool.release(channel)
-            else:
-                channel.abort()
-        return response
+            channel.abort()
--- a/chiveswitch/forwarding/pool.py
+++ b/chiveswitch/forwarding/pool.py
@@ -30,7 +30,7 @@
         self._idle_channels_by_target = {}
 
     async def acquire(
-        self, target_id: str, address: str, must_be_fresh: bool, timeout_s: float
+        self, target_id: str, address: str, must_be_fresh: bool, timeout_s: float, request_id: str
     ) -> channels.Channel | None:
         """Returns a channel for one request, or None if the target cannot be reached.
 
@@ -39,14 +39,29 @@
             address: Its `ip:port`.
             must_be_fresh: Whether the channel must be new or used within `FRESH_IDLE_SECONDS`.
             timeout_s: Longest time in seconds to open a channel.
+            request_id: Id of the request, by which its response is recognized.
         """
         idle_channels = self._idle_channels_by_target.get(target_id, [])
         now = clock.now()
         # The most recently used channel is the last one.
-        while idle_channels and self._is_usable(idle_channels[-1], address, must_be_fresh, now):
-            channel = idle_channels.pop()
+        for channel in reversed(idle_channels[:]):
+            if not self._is_usable(channel, address, must_be_fresh, now):
+                break
+            if request_id in channel.answered_ids:
+                continue
+            idle_channels.remove(channel)
             if not channel.failure_reason:
                 return channel
+        return await self.open(target_id, address, timeout_s)
+
+    async def open(self, target_id: str, address: str, timeout_s: float) -> channels.Channel | None:
+        """Returns a new channel, or None if the target cannot be reached.
+
+        Args:
+            target_id: Id of the target.
+            address: Its `ip:port`.
+            timeout_s: Longest time in seconds to open the channel.
+        """
         self.opened_count += 1
         return await channels.connect(address, target_id, min(timeout_s, CONNECT_TIMEOUT_SECONDS))
 
--- a/chiveswitch/forwarding/repeated_responses_test.py
+++ b/chiveswitch/forwarding/repeated_responses_test.py
@@ -56,7 +56,6 @@
         await target.write(writer, self.answer % request_id)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: refusals written once more")
 @pytest.mark.parametrize(("path", "method"), [("/w/x", "POST"), ("/r/x", "GET")])
 def test_a_refusal_that_is_written_once_more_is_not_believed(tmp_path, path, method):
     # Guards against a call that runs twice, or is refused although it has run, because the target
@@ -74,12 +73,7 @@
     forwarder_test.run(scenario, tmp_path)
 
 
-COPIES_AFTER_RESEND = pytest.param(
-    0.04, marks=pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: refusals written once more")
-)
-
-
-@pytest.mark.parametrize("pause_s", [0.0, 0.02, COPIES_AFTER_RESEND])
+@pytest.mark.parametrize("pause_s", [0.0, 0.02, 0.04])
 def test_refusals_written_while_the_connection_is_idle_are_not_believed(tmp_path, pause_s):
     # Guards against the same with copies that arrive before the call is sent again.
     async def scenario(fixture):
@@ -110,7 +104,6 @@
     forwarder_test.run(scenario, tmp_path)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: refusals written once more")
 def test_an_earlier_answer_about_a_copy_is_not_taken_for_a_later_one(tmp_path):
     # Guards against a stream that continues from the copy of another run, because the answers to
     # requests for copies name no request.
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -310,7 +310,11 @@
         """
         forwarder, admitted = self.forwarder, self.admitted
         channel = await forwarder.pool.acquire(
-            target.target_id, target.address, True, admitted.remaining_s()
+            target.target_id,
+            target.address,
+            True,
+            admitted.remaining_s(),
+            admitted.caller.request_id,
         )
         if channel is None or forwarder.target_table.is_draining_or_gone(target.target_id):
             if channel is not None:
--- a/chiveswitch/forwarding/unframed_responses_test.py
+++ b/chiveswitch/forwarding/unframed_responses_test.py
@@ -153,7 +153,7 @@
         await source.start(fixture, "engines", "a")
         dialect = fixture.gateway.dialect
         target = fixture.table.find("e0")
-        channel = await fixture.gateway.pool.acquire("e0", target.address, True, 1.0)
+        channel = await fixture.gateway.pool.acquire("e0", target.address, True, 1.0, "r")
         request = dialect.encode_copy_request("r1", target.address, "127.0.0.1:1")
         channel.send(request, ("", ""))
         response = await channel.read_response(clock.now() + 1.0)
