Learn limits from failures, cut responses and answers about copies, too

A limit was learned from complete responses of calls and heads of streams only. A gateway whose issuer fails now answers all waiting requests from its own share at once, instead of one timeout for each batch. A restarted hub is told each limit by the node that saw it last, not by all nodes. Tests: failures, refusals, garbage, and a gateway without an issuer.

--- a/chiveswitch/forwarding/copies.py
+++ b/chiveswitch/forwarding/copies.py
@@ -187,9 +187,15 @@
         channel = await pool.open(target.target_id, target.address, timeout_s)
         if channel is None:
             return None
-        self._forwarder.limiter.record_sent(target)
+        limiter = self._forwarder.limiter
+        limiter.record_sent(target)
         channel.send(data, NO_REQUEST_ID_HEADER)
         try:
-            return await channel.read_response(until)
+            response = await channel.read_response(until)
+            if response is not None:
+                # Such responses may name a limit, but do not lift one.
+                response_info = self._forwarder.dialect.decode_response(response)
+                limiter.observe_response(target, response_info, 0.0)
+            return response
         finally:
             channel.abort()
--- a/chiveswitch/forwarding/rate_limiter.py
+++ b/chiveswitch/forwarding/rate_limiter.py
@@ -121,6 +121,9 @@
             self._own_issuer.share = 1 / max(2, gateway_count)
         self.table.sweep(now)
         self._own_issuer.sweep(now)
+        for service, failed_at in list(self._failed_at_by_service.items()):
+            if now - failed_at >= ISSUER_RETRY_SECONDS:
+                del self._failed_at_by_service[service]
         for target_id, count in list(self._count_by_target.items()):
             if not count.total(now):
                 del self._count_by_target[target_id]
@@ -254,6 +257,8 @@
             batch, self._waiting_by_service[service] = waiting[:MAX_BATCH], waiting[MAX_BATCH:]
             answers = await self.issue(service, [request for request, _ in batch])
             if answers is None or len(answers) != len(batch):
+                batch += self._waiting_by_service[service]
+                self._waiting_by_service[service] = []
                 answers = self._issue_own_share(service, batch)
             for (_, future), permit in zip(batch, answers, strict=True):
                 if not future.done():
--- a/chiveswitch/forwarding/rate_limiter_test.py
+++ b/chiveswitch/forwarding/rate_limiter_test.py
@@ -72,3 +72,50 @@
         assert len(limited.runs) == 1 + len(answers) - len(refused)
 
     forwarder_test.run(scenario, tmp_path)
+
+
+def test_a_gateway_without_an_issuer_uses_its_share_of_a_limit(tmp_path):
+    # Guards against gateways that all use the whole limit, or wait, while the issuer is away.
+    async def scenario(fixture):
+        async def fail_to_issue(_service, _requests):
+            await asyncio.sleep(0.05)
+
+        limiter = fixture.gateway.limiter
+        limiter.connect(fail_to_issue, lambda report: None)
+        limiter.sweep(10, clock.now())
+        limited = await fixture.add("w0", "plain", "a")
+        limited.named_limit = str(RATE)
+        await forwarder_test.call(fixture, "first")
+        started = clock.now()
+        tasks = [forwarder_test.call(fixture, f"r{number}") for number in range(200)]
+        answers = await asyncio.gather(*tasks)
+        assert all(answer.status == 503 for answer in answers)
+        assert len(limited.arrived_at) - 1 <= RATE / 10 * (clock.now() - started) + 1
+
+    text = forwarder_test.run(scenario, tmp_path)
+    assert "issuer_failed" in text
+
+
+def test_a_limit_in_a_failure_counts_and_garbage_does_not(tmp_path):
+    # Guards against limits that are learned from successes only, and against a limit that a
+    # response with an unreadable one lifts.
+    async def scenario(fixture):
+        worker = await fixture.add("w0", "plain", "a")
+        target = fixture.table.find("w0")
+        limiter = fixture.gateway.limiter
+        worker.behaviour, worker.named_limit = "fail", "30"
+        await forwarder_test.call(fixture, "u1")
+        assert limiter.table.rate_of(target, clock.now()) == 30.0
+        worker.behaviour, worker.named_limit = "shed", "40"
+        await forwarder_test.call(fixture, "u2", **{"X-Deadline-Ms": "300"})
+        assert limiter.table.rate_of(target, clock.now()) == 40.0
+        worker.behaviour, worker.named_limit = "answer", "1e309"
+        await forwarder_test.call(fixture, "u3")
+        assert limiter.table.rate_of(target, clock.now()) == 40.0
+        worker.named_limit = None
+        await forwarder_test.call(fixture, "u4")
+        assert limiter.table.rate_of(target, clock.now()) is None
+
+    text = forwarder_test.run(scenario, tmp_path)
+    for event in ("limit_named", "limit_changed", "limit_ignored", "limit_lifted"):
+        assert event in text
--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -106,7 +106,7 @@
                 `apply_run_reports`, `apply_loss_reports`, `apply_prompt_reports`,
                 `apply_limit_reports`, `apply_bundle`, `discard_hub_reports` and `log_hub_state`
                 apply what was received; `held_prompt_reports` returns the PromptReports of
-                quarantines in force, and `limits_in_force` the LimitReports;
+                quarantines in force, and `own_limits` the LimitReports of limits seen here;
                 `log_watch_timeout`, `log_bundle_announced` and `log_bundle_requested` log the
                 watches.
             seeds: Peer addresses from the settings, watched until the members are known.
@@ -254,7 +254,7 @@
             self._view.discard_hub_reports(address)
 
     def _restore_reports(self, state):
-        """Tells a hub that has restarted which quarantines and limits are in force."""
+        """Tells a hub that has restarted which quarantines are in force, and limits seen here."""
         prompts = (
             kinds.Kind.HUB_REPORT_PROMPTS,
             hub_thrift.PromptReports,
@@ -263,7 +263,7 @@
         limits = (
             kinds.Kind.HUB_REPORT_LIMITS,
             hub_thrift.LimitReports,
-            self._view.limits_in_force(),
+            self._view.own_limits(),
         )
         for kind, message_class, reports in (prompts, limits):
             if not reports:
--- a/chiveswitch/peers/hub_watch_test.py
+++ b/chiveswitch/peers/hub_watch_test.py
@@ -131,7 +131,7 @@
     def preferred_hub(self, addresses):
         return self._preferred if self._preferred in addresses else sorted(addresses)[0]
 
-    def limits_in_force(self):
+    def own_limits(self):
         return []
 
     def held_prompt_reports(self):
--- a/chiveswitch/tools/node_limits.py
+++ b/chiveswitch/tools/node_limits.py
@@ -44,7 +44,7 @@
         self._issuer = permits.PermitIssuer(rng)
         node.forwarder.limiter.connect(self._request_permits, self._report_limit)
         node.view.on_limit_report = self._apply_report
-        node.view.limits_in_force = self._limits_in_force
+        node.view.own_limits = self._own_limits
 
     def sweep(self, now: float):
         """Drops what the issuer has not used lately."""
@@ -60,8 +60,13 @@
             return
         node.forwarder.spawn(node.watcher.report_limits([wire_report]))
 
-    def _limits_in_force(self):
-        return [_encode_report(each) for each in self._node.forwarder.limiter.table.in_force()]
+    def _own_limits(self):
+        """Returns the limits in force that a response to this gateway confirmed last."""
+        reports = []
+        for report in self._node.forwarder.limiter.table.in_force():
+            if report.source == self._node.settings.name:
+                reports.append(_encode_report(report))
+        return reports
 
     def _apply_report(self, wire_report):
         now = clock.now()
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -46,7 +46,8 @@
         held_prompt_reports: Function that returns the PromptReports that led to quarantines in
             force.
         on_limit_report: Called with each received LimitReport of `hub_thrift`.
-        limits_in_force: Function that returns the LimitReports of limits in force.
+        own_limits: Function that returns the LimitReports of limits in force that this node has
+            learned last.
     """
 
     __slots__ = (
@@ -57,7 +58,7 @@
         "on_prompt_report",
         "held_prompt_reports",
         "on_limit_report",
-        "limits_in_force",
+        "own_limits",
         "_settings",
         "_incarnation",
         "_table",
@@ -76,7 +77,7 @@
         self.on_prompt_report = lambda report: None
         self.held_prompt_reports = list
         self.on_limit_report = lambda report: None
-        self.limits_in_force = list
+        self.own_limits = list
         self._settings = settings
         self._incarnation = incarnation
         self._table = table
