Close the demo's connections before its event loop

After the demo had passed it printed a page of 'Exception ignored ... Event loop is closed', which newcomers took for a crash. Cause: the HTTP clients of callers, gateways and announcers kept idle connections, whose StreamWriter finalizers call the closed loop (Python 3.11). Clients are closed now, and the stand-in targets stopped.

--- a/chiveswitch/callers/client.py
+++ b/chiveswitch/callers/client.py
@@ -100,6 +100,10 @@
             )
         )
 
+    async def close(self):
+        """Closes all connections."""
+        await self._http.aclose()
+
     async def address(self) -> str:
         """Returns a gateway's address.
 
--- a/chiveswitch/targets/announcer.py
+++ b/chiveswitch/targets/announcer.py
@@ -93,10 +93,13 @@
         self._client = aiosonic.HTTPClient()
 
     async def run(self):
-        """Announces until cancelled."""
-        while True:
-            await self.announce()
-            await asyncio.sleep(ANNOUNCE_INTERVAL_SECONDS)
+        """Announces until cancelled, and then closes the connections to the gateways."""
+        try:
+            while True:
+                await self.announce()
+                await asyncio.sleep(ANNOUNCE_INTERVAL_SECONDS)
+        finally:
+            await self._client.aclose()
 
     async def announce(self):
         """Sends one announcement to each chosen gateway."""
--- a/chiveswitch/targets/engine_client.py
+++ b/chiveswitch/targets/engine_client.py
@@ -60,6 +60,10 @@
             )
         )
 
+    async def close(self):
+        """Closes all connections."""
+        await self._client.aclose()
+
     async def start_attempt(self, address: str, body: dict, traceparent: str = "") -> AttemptStream:
         """Starts a new attempt.
 
--- a/chiveswitch/tools/demo.py
+++ b/chiveswitch/tools/demo.py
@@ -141,6 +141,11 @@
         passed = await show_generation(field, engines)
         passed = await show_resend(desk, service) and passed
         passed = await show_roll(control, gateways) and passed
+        # Connections that are still open when the event loop is closed raise in their finalizers.
+        for caller in (field, desk):
+            await caller.close()
+        for target in (*engines, service):
+            await target.kill()
         for _, task in gateways:
             task.cancel()
         await asyncio.gather(*(task for _, task in gateways), return_exceptions=True)
--- a/chiveswitch/tools/gateway.py
+++ b/chiveswitch/tools/gateway.py
@@ -342,6 +342,7 @@
         self._server.force_exit = True
         await serving.stop(self._server)
         await self._peer_server.close()
+        await self._streams.client.close()
         self.telemetry.close()
 
     async def _main(self):
