Soak with workers that name limits

Some or all workers name 0, 0.5, 2 or 6 requests a second for 5 to 9 s beside the other faults; in each window of 4 s the requests of undisturbed nodes may not exceed what the users permit.

--- a/chiveswitch/forwarding/rate_limiter_test.py
+++ b/chiveswitch/forwarding/rate_limiter_test.py
@@ -24,8 +24,8 @@
         for number in range(80):
             answer = await forwarder_test.call(fixture, f"r{number}")
             assert answer.status == 200
-        assert len(limited.arrived_at) - 1 <= most_requests(clock.now() - started)
-        assert len(free.arrived_at) + len(limited.arrived_at) == 81
+        assert len(limited.arrivals) - 1 <= most_requests(clock.now() - started)
+        assert len(free.arrivals) + len(limited.arrivals) == 81
 
     forwarder_test.run(scenario, tmp_path)
 
@@ -46,7 +46,7 @@
             await asyncio.sleep(0.01)
         answers = await asyncio.gather(*tasks)
         assert all(answer.event_ids() == list(range(12)) for answer in answers)
-        assert len(limited.arrived_at) - 1 <= most_requests(clock.now() - started)
+        assert len(limited.arrivals) - 1 <= most_requests(clock.now() - started)
 
     forwarder_test.run(scenario, tmp_path)
 
@@ -62,7 +62,7 @@
         answers = await asyncio.gather(*tasks)
         seconds = clock.now() - started
         assert seconds < 1.5
-        assert len(limited.arrived_at) - 1 <= most_requests(seconds)
+        assert len(limited.arrivals) - 1 <= most_requests(seconds)
         refused = [answer for answer in answers if answer.status != 200]
         assert {answer.status for answer in refused} == {503}
         assert {answer.value_by_header["x-chiveswitch-code"] for answer in refused} == {"3011"}
@@ -90,7 +90,7 @@
         tasks = [forwarder_test.call(fixture, f"r{number}") for number in range(200)]
         answers = await asyncio.gather(*tasks)
         assert all(answer.status == 503 for answer in answers)
-        assert len(limited.arrived_at) - 1 <= RATE / 10 * (clock.now() - started) + 1
+        assert len(limited.arrivals) - 1 <= RATE / 10 * (clock.now() - started) + 1
 
     text = forwarder_test.run(scenario, tmp_path)
     assert "issuer_failed" in text
--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -627,7 +627,7 @@
             await call_node(cluster, number, f"r{number}")
         for number in range(node_count):
             await wait_for_log(cluster, number, "limit_named")
-        started, known = clock.now(), len(limited.arrived_at)
+        started, known = clock.now(), len(limited.arrivals)
         tasks = []
         for count in range(120):
             tasks.append(asyncio.ensure_future(call_node(cluster, count % node_count, f"s{count}")))
@@ -635,7 +635,7 @@
         answers = await asyncio.gather(*tasks)
         seconds = clock.now() - started
         assert all(answer.status == 200 for answer in answers)
-        sent = len(limited.arrived_at) - known
+        sent = len(limited.arrivals) - known
         assert 5 <= sent <= 5 * seconds * 1.5 + 5
         # The limit also holds for a node that has just started.
         cluster.signal(3, signal.SIGKILL)
--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -36,7 +36,7 @@
         crash_count: Number of these crashes.
         restart_seconds: Seconds from a crash until it listens again.
         named_limit: Limit that it names in its responses, as text, or None.
-        arrived_at: Times in seconds at which requests arrived that name this worker.
+        arrivals: (time in seconds, request id) of each request that arrived for this worker.
         batch: `engine_batch.Batch` that paces its streams instead of `event_seconds`, or None.
     """
 
@@ -58,7 +58,7 @@
         self.restart_seconds = 0.5
         self.batch = None
         self.named_limit = None
-        self.arrived_at = []
+        self.arrivals = []
         self._worker_by_address = worker_by_address
         worker_by_address[address] = self
         self._server = http_server.Server(self._handle)
@@ -125,7 +125,7 @@
         if request.path == "/kv-move":
             self._accept_copy_order(request, responder)
             return
-        self.arrived_at.append(clock.now())
+        self.arrivals.append((clock.now(), request_id))
         try:
             await BEHAVIOUR_BY_NAME[self.behaviour](self, request, responder, request_id)
         except asyncio.CancelledError:
--- a/features/soak.py
+++ b/features/soak.py
@@ -18,6 +18,7 @@
 
 import orjson
 
+from chiveswitch.core import clock
 from chiveswitch.tools import node_test, processes
 from features import platform_standins
 
@@ -32,6 +33,12 @@
 DRAIN_LIMIT_SECONDS = 2.0
 # Time for a restarted node to catch up before the next one may be lost, as the users state it.
 CATCH_UP_SECONDS = 4.0
+# Time from the first response that names a limit until the limit holds, the window in which
+# requests are counted, and the tolerated factor and addition, as the users state them.
+LIMIT_GRACE_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_ADDITION = 5
 # Largest jump of the time of day, in seconds.
 MAX_CLOCK_JUMP_SECONDS = 30
 # Every so many configs one is so large that nodes with slow links redirect the operator.
@@ -110,6 +117,9 @@
         acknowledged: (time, version) of each acknowledged config.
         reads: (time of the request, version) of each answered read.
         leaves: (time, worker id) of each acknowledged leave.
+        limits: (worker, rate, start, end) of each time for which a worker named a limit.
+        disturbances: (node, start, end) of each time for which a node was down or catching up.
+        node_by_request: Node that got each request of a caller.
         violations: Violations of the promises to users, as sentences.
     """
 
@@ -119,6 +129,9 @@
         self.acknowledged = []
         self.reads = []
         self.leaves = []
+        self.limits = []
+        self.disturbances = []
+        self.node_by_request = {}
         self.violations = []
 
     def find_violations(self, workers, run_times):
@@ -152,6 +165,8 @@
                 if line.startswith(b"data: ") and request_id.encode() + b"-" not in line:
                     self.violations.append(f"stream {request_id} holds {line[:60]}")
                     break
+        for limit in self.limits:
+            self._find_exceeded_limit(*limit)
         for asked_at, version in self.reads:
             due = [
                 v
@@ -167,6 +182,29 @@
                     f"{worker_id} got work {late[0] - left_at:.1f} s after it left"
                 )
 
+    def _find_exceeded_limit(self, worker, rate, since, until):
+        """Adds a violation if a worker got more requests in a window than its limit permits.
+
+        Nodes that were disturbed in the meantime do not count.
+        """
+        disturbed = {
+            node for node, start, end in self.disturbances if start < until and end > since
+        }
+        counted = []
+        for at, request_id in worker.arrivals:
+            node = self.node_by_request.get(request_id)
+            if since + LIMIT_GRACE_SECONDS <= at < until and node not in disturbed:
+                counted.append(at)
+        permitted = LIMIT_FACTOR * rate * LIMIT_WINDOW_SECONDS + LIMIT_ADDITION
+        for start in counted:
+            count = sum(start <= at < start + LIMIT_WINDOW_SECONDS for at in counted)
+            if count > permitted:
+                self.violations.append(
+                    f"{worker.worker_id} with a limit of {rate} got {count} requests in "
+                    f"{LIMIT_WINDOW_SECONDS} s"
+                )
+                return
+
 
 class Soak:
     """One seeded run.
@@ -264,6 +302,7 @@
     # Generation of load.
 
     async def _send_call(self, node, request_id):
+        self.record.node_by_request[request_id] = node
         try:
             answer = await node_test.call_address(self._proxy_by_node[node].address, request_id)
         except (OSError, TimeoutError):
@@ -278,6 +317,7 @@
             await asyncio.sleep(0.03)
 
     async def _send_stream(self, node, request_id):
+        self.record.node_by_request[request_id] = node
         fields = platform_standins.stream_headers(request_id)
         address = self._proxy_by_node[node].address
         try:
@@ -340,10 +380,12 @@
             yield None
             return
         self._reserved_nodes.add(number)
+        started = clock.now()
         try:
             yield number
             await asyncio.sleep(CATCH_UP_SECONDS)
         finally:
+            self.record.disturbances.append((number, started, clock.now()))
             self._reserved_nodes.discard(number)
 
     async def kill(self):
@@ -438,6 +480,21 @@
         await asyncio.sleep(self._rng.uniform(0.3, 2.0))
         worker.behaviour = "answer"
 
+    async def limit_workers(self):
+        """Makes some workers name a limit for a while."""
+        rate = self._rng.choice((0.0, 0.5, 2.0, 6.0))
+        count = self._rng.randrange(1, len(self._fleet.workers) + 1)
+        chosen = []
+        for worker in self._rng.sample(self._fleet.workers, count):
+            if worker.named_limit is None:
+                worker.named_limit = str(rate)
+                chosen.append(worker)
+        started = clock.now()
+        await asyncio.sleep(self._rng.uniform(5.0, 9.0))
+        for worker in chosen:
+            self.record.limits.append((worker, rate, started, clock.now()))
+            worker.named_limit = None
+
     async def leave_worker(self):
         """Makes one worker of the plain service leave, if it has not left yet. Two others stay."""
         plain = [w for w in self._fleet.workers if w.worker_id.startswith("w")]
@@ -470,6 +527,7 @@
     "harm_worker": Soak.disturb_worker_connections,
     "kill": Soak.kill,
     "leave": Soak.leave_worker,
+    "limit": Soak.limit_workers,
     "lose_disk": Soak.lose_disk,
     "pause": Soak.pause,
     "shift_clock": Soak.shift_clock,
