--- a/chiveswitch/peers/hub_test.py
+++ b/chiveswitch/peers/hub_test.py
@@ -1,8 +1,9 @@
 """Tests of the hub: contents and timing of the answers to watches, and detection of silence."""
 
 import asyncio
+import math
 
-from chiveswitch.core import clock, prompt_quarantine, target_table
+from chiveswitch.core import clock, prompt_quarantine, rate_limits, target_table
 from chiveswitch.peers import hub, strict
 
 thrift = hub.hub_thrift
@@ -306,3 +307,60 @@
     for number in range(hub.MAX_PROMPT_REPORTS + 10):
         fixture.hub.record_prompt_report(prompt_report(crashed, "a", f"r{number}"))
     assert len(fixture.hub._entry_by_key) == hub.MAX_PROMPT_REPORTS
+
+
+def limit_report(rate, age_ms=0, since_ms=0, born_ms=1, source="n1"):
+    return thrift.LimitReport(
+        target_id="a",
+        born_ms=born_ms,
+        limited=rate is not None,
+        rate=rate or 0.0,
+        age_ms=age_ms,
+        since_ms=since_ms,
+        source=source,
+    )
+
+
+def test_reports_of_limits_are_published_with_their_ages():
+    # Guards against a node that takes an old limit for a new one after its restart.
+    async def scenario():
+        fixture = HubFixture()
+        first = await fixture.watch()
+        assert first.limits is None
+        fixture.hub.record_limit_report(limit_report(2.5, age_ms=200, since_ms=1200))
+        fixture.time = 3.0
+        answer = await fixture.watch(position=0, incarnation=first.hub_incarnation)
+        assert [(each.rate, each.age_ms, each.since_ms) for each in answer.limits] == [
+            (2.5, 3200, 4200)
+        ]
+        fixture.time = rate_limits.EXPIRY_SECONDS + 1.0
+        fixture.hub.sweep()
+        assert fixture.hub._entry_by_key.keys().isdisjoint({("limits", "a")})
+
+    asyncio.run(scenario())
+
+
+def test_a_later_response_decides_what_limit_is_published():
+    # Guards against a limit that a delayed report restores, and against a rate that is no number.
+    fixture = HubFixture()
+    fixture.time = 10.0
+    fixture.hub.record_limit_report(limit_report(2.5))
+    fixture.hub.record_limit_report(limit_report(None, age_ms=100))
+    fixture.hub.record_limit_report(limit_report(math.nan))
+    fixture.hub.record_limit_report(limit_report(math.inf))
+    assert len(fixture.changes) == 1
+    fixture.time = 10.5
+    fixture.hub.record_limit_report(limit_report(None))
+    fixture.hub.record_limit_report(limit_report(2.5, age_ms=300))
+    assert [each.report.limited for each in fixture.changes] == [True, False]
+    fixture.hub.record_limit_report(limit_report(4.0, age_ms=200, born_ms=2))
+    assert fixture.changes[-1].report.born_ms == 2
+
+
+def test_an_unchanged_limit_is_published_at_intervals():
+    # Guards against a message to each node for each response of each gateway.
+    fixture = HubFixture()
+    for step in range(100):
+        fixture.time = step * hub.LIMIT_INTERVAL_SECONDS / 50
+        fixture.hub.record_limit_report(limit_report(2.5, source=f"n{step % 7}"))
+    assert len(fixture.changes) == 2
--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -201,21 +201,19 @@
         message = strict.encode(message_class(reports=reports))
         return await state.link.call(kind, message, REPORT_TIMEOUT_SECONDS)
 
-    async def request_permits(self, address: str, service: str, requests: list, timeout_s: float):
+    async def request_permits(self, address: str, message: bytes, timeout_s: float):
         """Asks a hub for permits to send requests to targets with a limit.
 
         Args:
             address: Peer address of a reachable hub.
-            service: Service of the targets.
-            requests: List of PermitRequest of `hub_thrift`.
+            message: Encoded PermitRequests of `hub_thrift`.
             timeout_s: Longest time in seconds to wait for the answer.
 
         Returns:
             Ok with the list of Permit of `hub_thrift`, or the failure.
         """
-        message = hub_thrift.PermitRequests(service_name=service, requests=requests)
         link = self.state_by_address[address].link
-        result = await link.call(kinds.Kind.HUB_PERMITS, strict.encode(message), timeout_s)
+        result = await link.call(kinds.Kind.HUB_PERMITS, message, timeout_s)
         if result.is_ok():
             result = strict.decode(hub_thrift.Permits, result.ok)
         return result.map(lambda answer: answer.permits)
--- a/chiveswitch/tools/node_limits.py
+++ b/chiveswitch/tools/node_limits.py
@@ -107,10 +107,8 @@
             return None
         if address == self._node.settings.peer_address:
             return self._issue(service, requests)
-        wire_requests = [_encode_request(request) for request in requests]
-        result = await self._node.watcher.request_permits(
-            address, service, wire_requests, PERMIT_TIMEOUT_SECONDS
-        )
+        message = encode_requests(service, requests)
+        result = await self._node.watcher.request_permits(address, message, PERMIT_TIMEOUT_SECONDS)
         return [_decode_permit(each) for each in result.ok] if result.is_ok() else None
 
     def _issue(self, service, requests):
@@ -145,13 +143,12 @@
         decoded = strict.decode(hub_thrift.PermitRequests, payload)
         if decoded.is_error():
             return decoded
-        requests = [_decode_request(each) for each in decoded.ok.requests]
+        requests = decode_requests(decoded.ok)
         service = decoded.ok.service_name
         issued = self._issue(service, requests) if self._node.is_member() else None
         if issued is None:
             return codes.failure(codes.Code.NOT_LEADER, "This node does not issue these permits.")
-        answer = hub_thrift.Permits(permits=[_encode_permit(permit) for permit in issued])
-        return expression.Ok(strict.encode(answer))
+        return expression.Ok(encode_permits(issued))
 
 
 def _encode_report(report):
@@ -180,6 +177,22 @@
     )
 
 
+def encode_requests(service: str, requests: list) -> bytes:
+    """Returns the message with a list of `permits.PermitRequest` for a service's targets."""
+    wire_requests = [_encode_request(request) for request in requests]
+    return strict.encode(hub_thrift.PermitRequests(service_name=service, requests=wire_requests))
+
+
+def decode_requests(message) -> list:
+    """Returns the `permits.PermitRequest` list of a decoded PermitRequests of `hub_thrift`."""
+    return [_decode_request(each) for each in message.requests]
+
+
+def encode_permits(issued: list) -> bytes:
+    """Returns the message with a list of `permits.Permit`."""
+    return strict.encode(hub_thrift.Permits(permits=[_encode_permit(each) for each in issued]))
+
+
 def _decode_request(wire_request):
     rate_by_target = {}
     for target in wire_request.targets:
