Let no request wait for a permit while another target is free

An interrupted stream waited up to the gap objective for a permit of a limited engine although an engine without a limit was there, and the wait did not count the pause that had passed. It now waits only if all engines have limits, or for the engine with its copy, and no longer than the pause may last. Channels of misdirected calls are released before their target is removed, as before. The test fails with the earlier condition.

--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -214,8 +214,8 @@
         target.open_requests -= 1
     now = clock.now()
     is_match = channel.matches_request(admitted.caller.request_id)
+    response_info = dialect.decode_response(channel.response)
     if channel.response.status and is_match:
-        response_info = dialect.decode_response(channel.response)
         forwarder.limiter.observe_response(target, response_info, started)
     if response is None:
         is_broken = bool(channel.failure_reason)
@@ -228,7 +228,6 @@
                 await forwarder.report_crash_if_lost(admitted, target, check, channel)
         return SendOutcome(None, False, reason)
     is_failure = response.status >= 500
-    response_info = forwarder.process_response(target, response)
     if response_info.not_run or is_failure:
         channel.answered_ids.add(admitted.caller.request_id)
     if not is_match:
@@ -237,6 +236,7 @@
         forwarder.pool.release(channel)
     elif is_failure or response.status in UNPROVEN_STATUSES:
         channel.abort()
+    forwarder.process_response(target, response)
     if response_info.not_run and is_match:
         admitted.may_have_run = may_have_run_before
         return SendOutcome(None, True, f"rejected the request with status {response.status}")
--- a/chiveswitch/forwarding/rate_limiter.py
+++ b/chiveswitch/forwarding/rate_limiter.py
@@ -182,7 +182,7 @@
             rate_by_target,
             admitted.account or "",
             admitted.priority,
-            0.0 if free and not is_resumed else max(0.0, max_wait_s),
+            0.0 if free else max(0.0, max_wait_s),
             is_resumed,
         )
         permit = await self._request_permit(admitted.service.name, request)
--- a/chiveswitch/forwarding/rate_limiter_test.py
+++ b/chiveswitch/forwarding/rate_limiter_test.py
@@ -1,8 +1,9 @@
 """Tests of calls and streams to targets that name the rate of requests that they take."""
 
 import asyncio
+import types
 
-from chiveswitch.core import clock
+from chiveswitch.core import clock, permits
 from chiveswitch.forwarding import forwarder_test
 
 RATE = 4.0
@@ -119,3 +120,47 @@
     text = forwarder_test.run(scenario, tmp_path)
     for event in ("limit_named", "limit_changed", "limit_ignored", "limit_lifted"):
         assert event in text
+
+
+# What the limiter uses of an admitted request.
+ADMITTED = types.SimpleNamespace(
+    account="account-1",
+    priority=1,
+    service=types.SimpleNamespace(name="engines"),
+    caller=types.SimpleNamespace(request_id="r1"),
+    remaining_s=lambda: 5.0,
+)
+
+
+def test_no_request_waits_for_a_permit_while_a_target_without_a_limit_is_there(tmp_path):
+    # Guards against a pause in a stream whose engine is lost while the next one names a limit, and
+    # against targets without a limit that are idle while requests wait.
+    async def scenario(fixture):
+        requests = []
+
+        async def deny(_service, new_requests):
+            requests.extend(new_requests)
+            return [permits.Permit("", 0.0, 1.0) for _ in new_requests]
+
+        limited = await fixture.add("e0", "engines", "a")
+        limited.named_limit = str(RATE)
+        await forwarder_test.stream(fixture, "first")
+        await fixture.add("e1", "engines", "b")
+        limiter = fixture.gateway.limiter
+        limiter.connect(deny, lambda report: None)
+        both = [fixture.table.find("e0"), fixture.table.find("e1")]
+
+        def choose(targets):
+            return targets[0] if targets else None
+
+        for is_resumed in (False, True):
+            for targets, wait_s in ((both, 0.0), (both[:1], 0.7)):
+                selected, retry_after_s = await limiter.select_permitted(
+                    ADMITTED, both[0], targets, choose, 0.7, is_resumed
+                )
+                assert selected is (both[1] if len(targets) > 1 else None)
+                assert bool(retry_after_s) == (selected is None)
+                assert requests[-1].max_wait_s == wait_s
+                assert requests[-1].is_resumed == is_resumed
+
+    forwarder_test.run(scenario, tmp_path)
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -230,13 +230,10 @@
     async def select_target(self):
         """Selects the next target and waits for its permit if it has a limit.
 
-        Sets `limited_for_s`.
-
         Returns:
             (target, whether it holds the copy), or (None, False) without a usable target.
         """
         forwarder = self.forwarder
-        self.limited_for_s = 0.0
         if self.resumes_from_copy:
             self.resumes_from_copy = False
             holder = self.copy_manager.find_holder()
@@ -271,14 +268,23 @@
         return placement.choose_engine(targets, loads, engine, self.run.tokens, session, now)
 
     async def _wait_for_permit(self, chosen, targets, choose):
-        """Returns the chosen target, or another one if its limit does not permit the stream."""
+        """Returns the chosen target, or another one if its limit does not permit the stream.
+
+        Sets `limited_for_s`.
+
+        Args:
+            chosen: Preferred one of the targets, or None.
+            targets: Targets that may be chosen.
+            choose: Function that returns the best one of some targets, or None.
+        """
+        self.limited_for_s = 0.0
         admitted = self.admitted
         limiter = self.forwarder.limiter
         if chosen is None or not limiter.is_limited(chosen):
             return chosen
         is_resumed = self.buffer.last_id is not None
         if is_resumed:
-            max_wait_s = self.max_gap_s
+            max_wait_s = max(0.0, self.max_gap_s - (clock.now() - self.delivered_at))
         else:
             max_wait_s = PERMIT_WAIT_SHARE * admitted.route.objective_s
         max_wait_s = min(max_wait_s, PERMIT_WAIT_SHARE * admitted.remaining_s())
--- a/chiveswitch/tools/node_limits_test.py
+++ b/chiveswitch/tools/node_limits_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+import types
 
 from chiveswitch.core import codes, decision_log, metrics, permits, target_table
 from chiveswitch.forwarding import forwarder, forwarder_test
@@ -15,13 +16,6 @@
 ISSUER = permits.choose_issuer(SERVICE, ADDRESSES)
 
 
-class Named:
-    """An object with some attributes."""
-
-    def __init__(self, **fields):
-        vars(self).update(fields)
-
-
 def make_node(address, reachable, leader_silence_s=0.0):
     """Returns what `node_limits` uses of a node that is a member and reaches some hubs."""
     log, counters = decision_log.DecisionLog(), metrics.Metrics()
@@ -32,10 +26,14 @@
     view = node_view.NodeView(
         forwarder_test.Settings, 1, table, gateway.run_table, log, None, lambda bundle: None
     )
-    return Named(
-        settings=Named(peer_address=address, name="g1"),
-        watcher=Named(reachable_hubs=lambda: [Named(address=each) for each in reachable]),
-        control=Named(node=Named(seconds_since_leader_contact=lambda now: leader_silence_s)),
+    return types.SimpleNamespace(
+        settings=types.SimpleNamespace(peer_address=address, name="g1"),
+        watcher=types.SimpleNamespace(
+            reachable_hubs=lambda: [types.SimpleNamespace(address=each) for each in reachable]
+        ),
+        control=types.SimpleNamespace(
+            node=types.SimpleNamespace(seconds_since_leader_contact=lambda now: leader_silence_s)
+        ),
         is_member=lambda: True,
         forwarder=gateway,
         table=table,
