--- a/chiveswitch/core/permits.py
+++ b/chiveswitch/core/quota.py
@@ -1,9 +1,9 @@
-"""Permits to send requests to targets that have named a limit.
+"""Grants of the right to send requests to targets that have named a limit.
 
-One process, the issuer, hands out the permits of a service's targets to all gateways. It spaces the
-permits of each target with the generic cell rate algorithm: a permit may lie in the future, and its
-request then waits at the gateway. A request whose wait would be too long gets no permit. Urgent
-requests may wait the longest, so that they get the permits that less urgent ones leave in an
+One process, the issuer, hands out the grants of a service's targets to all gateways. It spaces the
+grants of each target with the generic cell rate algorithm: a grant may lie in the future, and its
+request then waits at the gateway. A request whose wait would be too long gets no grant. Urgent
+requests may wait the longest, so that they get the grants that less urgent ones leave in an
 overload.
 """
 
@@ -11,15 +11,15 @@
 
 import xxhash
 
-# Idle time of a target whose unused permits are issued at once later.
+# Idle time of a target whose unused grants are issued at once later.
 BURST_SECONDS = 0.25
 # A target with a lower limit gets one request in this time all the same, whose response shows
 # whether the limit still holds.
 TRIAL_SECONDS = 10.0
-# Permits that interrupted streams get without a wait, beyond the spaced ones: at once after a quiet
+# Grants that interrupted streams get without a wait, beyond the spaced ones: at once after a quiet
 # time, in seconds of the limit in addition, and as a share of the limit in the long run. Later
-# permits are delayed by as many.
-OVERDRAFT_PERMITS = 2.0
+# grants are delayed by as many.
+OVERDRAFT_GRANTS = 2.0
 OVERDRAFT_SECONDS = 0.5
 OVERDRAFT_SHARE = 0.25
 # Share of the longest wait that each rank of urgency below the first one leaves of the rank above.
@@ -28,7 +28,7 @@
 # An account or priority that gets less than this share of the overall share of granted requests
 # counts as urgent.
 LEAST_RELATIVE_SHARE = 0.5
-# Time constant of the counts of requested and granted permits.
+# Time constant of the counts of requests and grants.
 DEMAND_SECONDS = 4.0
 # Decayed number of requests below which an account or priority is no longer counted.
 MIN_DEMAND = 0.05
@@ -40,7 +40,7 @@
 IDLE_SECONDS = 30.0
 
 
-class PermitRequest:
+class QuotaRequest:
     """A gateway's wish to send one request.
 
     Attributes:
@@ -69,13 +69,13 @@
         self.is_resumed = is_resumed
 
 
-class Permit:
-    """The answer to a `PermitRequest`.
+class QuotaGrant:
+    """The answer to a `QuotaRequest`.
 
     Attributes:
         target_id: Target to which the request may be sent, or an empty string if it may not.
         delay_s: Seconds after which it may be sent.
-        retry_after_s: Seconds after which a request without a permit may be repeated.
+        retry_after_s: Seconds after which a request without a grant may be repeated.
     """
 
     __slots__ = ("target_id", "delay_s", "retry_after_s")
@@ -87,12 +87,12 @@
 
 
 class _Schedule:
-    """Theoretical times of the next permits of one target.
+    """Theoretical times of the next grants of one target.
 
     Attributes:
-        rate: Permits per second.
-        next_at: Time of the next spaced permit.
-        overdraft_at: The same for permits of interrupted streams.
+        rate: QuotaGrants per second.
+        next_at: Time of the next spaced grant.
+        overdraft_at: The same for grants of interrupted streams.
         used_at: Time of the last request.
     """
 
@@ -105,24 +105,24 @@
         self.used_at = now
 
     def set_rate(self, rate, now):
-        """Changes the rate, and with it the time that permits issued in advance take."""
+        """Changes the rate, and with it the time that grants issued in advance take."""
         if rate != self.rate:
             self.next_at = now + max(0.0, self.next_at - now) * self.rate / rate
             self.rate = rate
         self.used_at = now
 
     def delay(self, now):
-        """Returns the seconds until the next spaced permit."""
+        """Returns the seconds until the next spaced grant."""
         return max(0.0, self.next_at - BURST_SECONDS - now)
 
     def take(self, now):
         self.next_at = max(self.next_at, now) + 1 / self.rate
 
     def take_overdraft(self, now):
-        """Takes a permit in advance for an interrupted stream; returns whether there was one."""
-        permits = OVERDRAFT_PERMITS + OVERDRAFT_SECONDS * self.rate
+        """Takes a grant in advance for an interrupted stream; returns whether there was one."""
+        grants = OVERDRAFT_GRANTS + OVERDRAFT_SECONDS * self.rate
         interval = 1 / (OVERDRAFT_SHARE * self.rate)
-        if max(self.overdraft_at, now) + interval > now + permits * interval:
+        if max(self.overdraft_at, now) + interval > now + grants * interval:
             return False
         self.overdraft_at = max(self.overdraft_at, now) + interval
         self.take(now)
@@ -130,7 +130,7 @@
 
 
 class _Count:
-    """Decaying numbers of requested and granted permits."""
+    """Decaying numbers of requests and grants."""
 
     __slots__ = ("requested", "granted", "_at")
 
@@ -150,7 +150,7 @@
 
 
 class _Demand:
-    """Requested and granted permits of one service, in all and by account and priority.
+    """Requests and grants of one service, in all and by account and priority.
 
     Attributes:
         returns_at: Time at which the last refused request was told to return.
@@ -180,7 +180,7 @@
         if min(account.share(), priority.share()) < least_share:
             return 0
         rank = sorted(self._by_priority).index(request.priority)
-        # Accounts with more than an equal part of the permits come after the others.
+        # Accounts with more than an equal part of the grants come after the others.
         if account.granted * len(self._by_account) > self._total.granted:
             rank += 1
         return min(rank, LOWEST_RANK)
@@ -204,12 +204,12 @@
         )
 
 
-class PermitIssuer:
-    """Issues the permits of targets, or a fixed share of them.
+class QuotaIssuer:
+    """Issues the grants of targets, or a fixed share of them.
 
     Attributes:
         share: Share of each limit that is issued. An issuer with less than all of it begins
-            without a permit, because others may just have issued theirs.
+            without a grant, because others may just have issued theirs.
     """
 
     __slots__ = ("share", "_schedule_by_target", "_demand_by_service", "_rng")
@@ -220,12 +220,12 @@
         self._demand_by_service = {}
         self._rng = rng
 
-    def request(self, service: str, request: PermitRequest, now: float) -> Permit:
-        """Issues a permit for one of the acceptable targets, or refuses it.
+    def request(self, service: str, request: QuotaRequest, now: float) -> QuotaGrant:
+        """Issues a grant for one of the acceptable targets, or refuses it.
 
         Args:
             service: Service of the targets.
-            request: The `PermitRequest`.
+            request: The `QuotaRequest`.
             now: Current time in seconds.
         """
         demand = self._demand_by_service.get(service)
@@ -241,15 +241,15 @@
             for target_id in request.rate_by_target:
                 if self._schedule_by_target[target_id].take_overdraft(now):
                     demand.record_grant(request, now)
-                    return Permit(target_id)
+                    return QuotaGrant(target_id)
         longest_s = request.max_wait_s
         if not request.is_resumed:
             longest_s *= RANK_WAIT_SHARE ** demand.rank(request)
         if best_id and best_delay_s <= longest_s:
             self._schedule_by_target[best_id].take(now)
             demand.record_grant(request, now)
-            return Permit(best_id, best_delay_s)
-        return Permit("", 0.0, self._retry_after(demand, request, best_delay_s, now))
+            return QuotaGrant(best_id, best_delay_s)
+        return QuotaGrant("", 0.0, self._retry_after(demand, request, best_delay_s, now))
 
     def _schedule(self, target_id, limit, now):
         rate = max(limit, 1 / TRIAL_SECONDS) * self.share
@@ -283,7 +283,7 @@
 
 
 def choose_issuer(service: str, addresses) -> str:
-    """Returns the address of the process that issues the permits of a service.
+    """Returns the address of the process that issues the grants of a service.
 
     Rendezvous hashing spreads the services over the processes, and the loss of one moves only its
     own services.
--- a/chiveswitch/core/permits_test.py
+++ b/chiveswitch/core/quota_test.py
@@ -1,11 +1,11 @@
-"""Tests of the issuing of permits for targets with a limit."""
+"""Tests of the issuing of grants for targets with a limit."""
 
 import random
 
 import hypothesis
 from hypothesis import strategies
 
-from chiveswitch.core import permits
+from chiveswitch.core import quota
 
 # The window, factor and allowance by which the users judge a limit.
 WINDOW_SECONDS = 4.0
@@ -14,7 +14,7 @@
 
 
 def make_issuer(share=1.0):
-    return permits.PermitIssuer(random.Random(1), share)
+    return quota.QuotaIssuer(random.Random(1), share)
 
 
 def most_in_window(sent_at):
@@ -26,7 +26,7 @@
 
 
 def issue(issuer, rate, now, **more):
-    return issuer.request("s", permits.PermitRequest({"w": rate}, **more), now)
+    return issuer.request("s", quota.QuotaRequest({"w": rate}, **more), now)
 
 
 @hypothesis.given(
@@ -48,20 +48,20 @@
         now += pause_s
         for number in range(new_count + resumed_count):
             is_resumed = number >= new_count
-            permit = issue(issuer, rate, now, max_wait_s=wait_s, is_resumed=is_resumed)
-            if permit.target_id:
-                sent_at.append(now + permit.delay_s)
+            grant = issue(issuer, rate, now, max_wait_s=wait_s, is_resumed=is_resumed)
+            if grant.target_id:
+                sent_at.append(now + grant.delay_s)
     assert most_in_window(sent_at) <= FACTOR * WINDOW_SECONDS * rate + ALLOWANCE
 
 
-def test_permits_are_spread_over_time():
-    # Guards against all permits of a window in one burst when it opens.
+def test_grants_are_spread_over_time():
+    # Guards against all grants of a window in one burst when it opens.
     issuer = make_issuer()
     delays = []
     for _ in range(40):
-        permit = issue(issuer, 10.0, 50.0, max_wait_s=2.0)
-        if permit.target_id:
-            delays.append(permit.delay_s)
+        grant = issue(issuer, 10.0, 50.0, max_wait_s=2.0)
+        if grant.target_id:
+            delays.append(grant.delay_s)
     assert 15 <= len(delays) <= 24
     for half in range(4):
         assert 3 <= sum(half / 2 <= each < half / 2 + 0.5 for each in delays) <= 8
@@ -74,7 +74,7 @@
     granted = 0
     for step in range(600):
         granted += bool(issue(issuer, 0.0, 10.0 + step / 10).target_id)
-    assert granted == 60 / permits.TRIAL_SECONDS - 1
+    assert granted == 60 / quota.TRIAL_SECONDS - 1
 
 
 def test_an_interrupted_stream_goes_before_new_work():
@@ -85,12 +85,12 @@
         issue(issuer, 2.0, 10.0, max_wait_s=1.5)
     assert not issue(issuer, 2.0, 10.0, max_wait_s=1.5).target_id
     for _ in range(3):
-        permit = issue(issuer, 2.0, 10.0, max_wait_s=0.5, is_resumed=True)
-        assert (permit.target_id, permit.delay_s) == ("w", 0.0)
+        grant = issue(issuer, 2.0, 10.0, max_wait_s=0.5, is_resumed=True)
+        assert (grant.target_id, grant.delay_s) == ("w", 0.0)
 
 
 def test_a_changed_limit_holds_at_once():
-    # Guards against permits that were planned far ahead at a low rate and delay a higher one.
+    # Guards against grants that were planned far ahead at a low rate and delay a higher one.
     issuer = make_issuer()
     for _ in range(3):
         issue(issuer, 0.2, 10.0, max_wait_s=20.0)
@@ -100,14 +100,14 @@
 def test_the_issuer_uses_the_target_that_takes_a_request_first():
     # Guards against requests that are refused although the limit of another target permits them.
     issuer = make_issuer()
-    request = permits.PermitRequest({"w0": 1.0, "w1": 1.0, "w2": 1.0})
+    request = quota.QuotaRequest({"w0": 1.0, "w1": 1.0, "w2": 1.0})
     assert {issuer.request("s", request, 5.0).target_id for _ in range(3)} == {"w0", "w1", "w2"}
     assert not issuer.request("s", request, 5.0).target_id
 
 
 def test_gateways_without_an_issuer_keep_to_the_limit_together():
     # Guards against gateways that all use the whole limit while the issuer is away, or all of
-    # which begin with a permit.
+    # which begin with a grant.
     for count in (10, 89, 340):
         issuers = [make_issuer(1 / count) for _ in range(count)]
         sent_at = []
@@ -120,11 +120,11 @@
 
 
 def test_the_loss_of_an_issuer_moves_only_its_own_services():
-    # Guards against permits of two issuers for services whose issuer is there.
+    # Guards against grants of two issuers for services whose issuer is there.
     addresses = [f"10.0.0.{number}:7" for number in range(5)]
     services = [f"s{number}" for number in range(60)]
-    before = {service: permits.choose_issuer(service, addresses) for service in services}
+    before = {service: quota.choose_issuer(service, addresses) for service in services}
     assert set(before.values()) == set(addresses)
-    after = {service: permits.choose_issuer(service, addresses[1:]) for service in services}
+    after = {service: quota.choose_issuer(service, addresses[1:]) for service in services}
     for service in services:
         assert before[service] in (after[service], addresses[0])
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -24,8 +24,8 @@
 # Statuses that mean "not run" to callers. They prove it only together with a target's statement
 # that it did not run the call.
 UNPROVEN_STATUSES = frozenset((408, 421, 429, 503))
-# Share of the latency objective, and of the remaining time, for which a call waits for a permit.
-PERMIT_WAIT_SHARE = 0.5
+# Share of the latency objective, and of the remaining time, for which a call waits for a grant.
+GRANT_WAIT_SHARE = 0.5
 # Retry-After in seconds for a call that all targets rejected.
 REJECTED_RETRY_AFTER_SECONDS = 0.2
 
@@ -127,7 +127,7 @@
 
 
 async def _select_target(forwarder, admitted, targets):
-    """Selects a target and waits for its permit if it has a limit.
+    """Selects a target and waits for its grant if it has a limit.
 
     Args:
         forwarder: The `forwarder.Forwarder`.
@@ -146,10 +146,10 @@
     if target is None or not forwarder.limiter.is_limited(target):
         return target, 0.0
     max_wait_s = min(
-        PERMIT_WAIT_SHARE * admitted.route.objective_s,
-        PERMIT_WAIT_SHARE * admitted.remaining_s(),
+        GRANT_WAIT_SHARE * admitted.route.objective_s,
+        GRANT_WAIT_SHARE * admitted.remaining_s(),
     )
-    return await forwarder.limiter.select_permitted(admitted, target, targets, choose, max_wait_s)
+    return await forwarder.limiter.select_granted(admitted, target, targets, choose, max_wait_s)
 
 
 class SendOutcome:
--- a/chiveswitch/forwarding/copies.py
+++ b/chiveswitch/forwarding/copies.py
@@ -90,7 +90,7 @@
         forwarder = self._forwarder
         now = clock.now()
         ready = forwarder.target_table.ready_targets(self._admitted.service.name)
-        # A stream that continues from its copy needs a permit at a target with a limit.
+        # A stream that continues from its copy needs a grant at a target with a limit.
         without_limits = forwarder.limiter.without_limits(ready)
         loads = forwarder.run_table.load_by_target(now)
         for candidates in (without_limits, ready):
--- a/chiveswitch/forwarding/rate_limiter.py
+++ b/chiveswitch/forwarding/rate_limiter.py
@@ -1,7 +1,7 @@
 """Keeps the requests of all gateways together below the limits that targets name.
 
 A gateway learns limits from responses and from other gateways. Before it sends a request to a
-target with a limit, it asks the issuer of the target's service for a permit. Requests that come
+target with a limit, it asks the issuer of the target's service for a grant. Requests that come
 while an answer of the issuer is awaited are sent to it together. Without an issuer each gateway
 uses an equal share of the limit.
 """
@@ -9,7 +9,7 @@
 import asyncio
 import math
 
-from chiveswitch.core import clock, permits, rate_limits, retry
+from chiveswitch.core import clock, quota, rate_limits, retry
 
 # Largest number of targets among which the issuer chooses for one request.
 MAX_CANDIDATES = 8
@@ -26,13 +26,13 @@
 
 
 class RateLimiter:
-    """Limits known to one gateway, and its requests for permits.
+    """Limits known to one gateway, and its requests for grants.
 
     Attributes:
         table: `rate_limits.RateLimitTable`.
         report: Function that is called with each `rate_limits.Report` for the other gateways.
-        issue: Coroutine function (service, list of `permits.PermitRequest`) that returns the list
-            of `permits.Permit` of the service's issuer, or None if there is none; None if this
+        issue: Coroutine function (service, list of `quota.QuotaRequest`) that returns the list
+            of `quota.QuotaGrant` of the service's issuer, or None if there is none; None if this
             gateway is the only one.
     """
 
@@ -64,7 +64,7 @@
         self.table = rate_limits.RateLimitTable(self._on_changed)
         self.report = lambda report: None
         self.issue = None
-        self._own_issuer = permits.PermitIssuer(rng)
+        self._own_issuer = quota.QuotaIssuer(rng)
         # (request, future) pairs of services whose issuer is being asked.
         self._waiting_by_service = {}
         self._failed_at_by_service = {}
@@ -148,12 +148,12 @@
             since=now - report.since,
         )
 
-    # Permits.
+    # Grants.
 
-    async def select_permitted(
+    async def select_granted(
         self, admitted, chosen, targets: list, choose, max_wait_s: float, is_resumed: bool = False
     ):
-        """Returns a target to which a request may be sent now, and may wait for its permit.
+        """Returns a target to which a request may be sent now, and may wait for its grant.
 
         Args:
             admitted: The `forwarder.AdmittedRequest`.
@@ -178,26 +178,26 @@
             rate_by_target[candidate.target_id] = self.table.rate_of(candidate, now)
             limited.remove(candidate)
             candidate = choose(limited)
-        request = permits.PermitRequest(
+        request = quota.QuotaRequest(
             rate_by_target,
             admitted.account or "",
             admitted.priority,
             0.0 if free else max(0.0, max_wait_s),
             is_resumed,
         )
-        permit = await self._request_permit(admitted.service.name, request)
+        grant = await self._request_grant(admitted.service.name, request)
         target_by_id = {target.target_id: target for target in targets}
-        if permit.target_id:
-            if permit.delay_s > 0:
-                self._log_outcome(admitted, "held", permit.target_id, permit.delay_s)
-                await asyncio.sleep(permit.delay_s)
-            return target_by_id.get(permit.target_id), 0.0
+        if grant.target_id:
+            if grant.delay_s > 0:
+                self._log_outcome(admitted, "held", grant.target_id, grant.delay_s)
+                await asyncio.sleep(grant.delay_s)
+            return target_by_id.get(grant.target_id), 0.0
         if free:
             target = choose(free)
             self._log_outcome(admitted, "moved", target.target_id, 0.0)
             return target, 0.0
-        self._log_outcome(admitted, "denied", chosen.target_id, permit.retry_after_s)
-        return None, permit.retry_after_s
+        self._log_outcome(admitted, "denied", chosen.target_id, grant.retry_after_s)
+        return None, grant.retry_after_s
 
     async def may_send(self, admitted, target) -> bool:
         """Returns whether a request about a run may be sent to its engine now.
@@ -209,9 +209,9 @@
         rate = self.table.rate_of(target, clock.now())
         if rate is None:
             return True
-        request = permits.PermitRequest({target.target_id: rate}, admitted.account or "")
-        permit = await self._request_permit(admitted.service.name, request)
-        return permit.target_id == target.target_id
+        request = quota.QuotaRequest({target.target_id: rate}, admitted.account or "")
+        grant = await self._request_grant(admitted.service.name, request)
+        return grant.target_id == target.target_id
 
     def record_sent(self, target):
         """Counts a request that is sent to a target with a limit."""
@@ -236,7 +236,7 @@
             left=admitted.remaining_s(),
         )
 
-    async def _request_permit(self, service, request):
+    async def _request_grant(self, service, request):
         now = clock.now()
         failed_at = self._failed_at_by_service.get(service)
         is_failing = failed_at is not None and now - failed_at < ISSUER_RETRY_SECONDS
@@ -252,7 +252,7 @@
         return await future
 
     async def _ask_issuer(self, service):
-        """Asks the issuer until no request for a permit is left."""
+        """Asks the issuer until no request for a grant is left."""
         while waiting := self._waiting_by_service[service]:
             batch, self._waiting_by_service[service] = waiting[:MAX_BATCH], waiting[MAX_BATCH:]
             answers = await self.issue(service, [request for request, _ in batch])
@@ -260,15 +260,15 @@
                 batch += self._waiting_by_service[service]
                 self._waiting_by_service[service] = []
                 answers = self._issue_own_share(service, batch)
-            for (_, future), permit in zip(batch, answers, strict=True):
+            for (_, future), grant in zip(batch, answers, strict=True):
                 if not future.done():
-                    future.set_result(permit)
+                    future.set_result(grant)
         del self._waiting_by_service[service]
 
     def _issue_own_share(self, service, batch):
         now = clock.now()
         self._failed_at_by_service[service] = now
-        self._metrics.count("permits_without_issuer", len(batch))
+        self._metrics.count("quota_without_issuer", len(batch))
         self._log.line("gateway", "issuer_failed", service=service, requests=len(batch))
         return [self._own_issuer.request(service, request, now) for request, _ in batch]
 
--- a/chiveswitch/forwarding/rate_limiter_test.py
+++ b/chiveswitch/forwarding/rate_limiter_test.py
@@ -3,7 +3,7 @@
 import asyncio
 import types
 
-from chiveswitch.core import clock, permits
+from chiveswitch.core import clock, quota
 from chiveswitch.forwarding import forwarder_test
 
 RATE = 4.0
@@ -133,7 +133,7 @@
 )
 
 
-def test_no_request_waits_for_a_permit_while_a_target_without_a_limit_is_there(tmp_path):
+def test_no_request_waits_for_a_grant_while_a_target_without_a_limit_is_there(tmp_path):
     # Guards against a pause in a stream whose engine is lost while the next one names a limit, and
     # against targets without a limit that are idle while requests wait.
     async def scenario(fixture):
@@ -141,7 +141,7 @@
 
         async def deny(_service, new_requests):
             requests.extend(new_requests)
-            return [permits.Permit("", 0.0, 1.0) for _ in new_requests]
+            return [quota.QuotaGrant("", 0.0, 1.0) for _ in new_requests]
 
         limited = await fixture.add("e0", "engines", "a")
         limited.named_limit = str(RATE)
@@ -156,7 +156,7 @@
 
         for is_resumed in (False, True):
             for targets, wait_s in ((both, 0.0), (both[:1], 0.7)):
-                selected, retry_after_s = await limiter.select_permitted(
+                selected, retry_after_s = await limiter.select_granted(
                     ADMITTED, both[0], targets, choose, 0.7, is_resumed
                 )
                 assert selected is (both[1] if len(targets) > 1 else None)
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -44,8 +44,8 @@
 # round in which all engines were tried counts as one, too.
 MAX_REJECTIONS = 4
 # Share of the latency objective of the first event, and of the remaining time, for which a stream
-# waits for a permit.
-PERMIT_WAIT_SHARE = 0.4
+# waits for a grant.
+GRANT_WAIT_SHARE = 0.4
 # Retry-After in seconds for a refused stream: about the time until a running stream ends.
 REJECTED_RETRY_AFTER_SECONDS = 1.0
 # Retry-After in seconds for a stream refused by a stopping gateway. The caller retries at another
@@ -228,7 +228,7 @@
         self.forwarder.report_run(run)
 
     async def select_target(self):
-        """Selects the next target and waits for its permit if it has a limit.
+        """Selects the next target and waits for its grant if it has a limit.
 
         Returns:
             (target, whether it holds the copy), or (None, False) without a usable target.
@@ -238,9 +238,9 @@
             self.resumes_from_copy = False
             holder = self.copy_manager.find_holder()
             if holder is not None and holder.target_id not in self.excluded_ids:
-                permitted = await self._wait_for_permit(holder, [holder], lambda targets: None)
-                if permitted is not None:
-                    return permitted, True
+                granted = await self._wait_for_grant(holder, [holder], lambda targets: None)
+                if granted is not None:
+                    return granted, True
         targets = [
             each
             for each in forwarder.target_table.ready_targets(self.admitted.service.name)
@@ -251,7 +251,7 @@
         def choose(candidates):
             return self._choose_target(candidates, loads)
 
-        return await self._wait_for_permit(choose(targets), targets, choose), False
+        return await self._wait_for_grant(choose(targets), targets, choose), False
 
     def _choose_target(self, targets, loads):
         """Returns the best one of some targets, or None.
@@ -267,7 +267,7 @@
         session = self.run.session or self.admitted.caller.request_id
         return placement.choose_engine(targets, loads, engine, self.run.tokens, session, now)
 
-    async def _wait_for_permit(self, chosen, targets, choose):
+    async def _wait_for_grant(self, chosen, targets, choose):
         """Returns the chosen target, or another one if its limit does not permit the stream.
 
         Sets `limited_for_s`.
@@ -286,9 +286,9 @@
         if is_resumed:
             max_wait_s = max(0.0, self.max_gap_s - (clock.now() - self.delivered_at))
         else:
-            max_wait_s = PERMIT_WAIT_SHARE * admitted.route.objective_s
-        max_wait_s = min(max_wait_s, PERMIT_WAIT_SHARE * admitted.remaining_s())
-        target, self.limited_for_s = await limiter.select_permitted(
+            max_wait_s = GRANT_WAIT_SHARE * admitted.route.objective_s
+        max_wait_s = min(max_wait_s, GRANT_WAIT_SHARE * admitted.remaining_s())
+        target, self.limited_for_s = await limiter.select_granted(
             admitted, chosen, targets, choose, max_wait_s, is_resumed
         )
         return target
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -35,13 +35,13 @@
   4: required double rate, 5: required i64 age_ms, 6: required i64 since_ms, 7: required string source }
 struct LimitReports { 1: required list<LimitReport> reports }
 
-// Requests for permits to send to targets with a limit. A permit without target is refused.
-struct PermitTarget { 1: required string target_id, 2: required double rate }
-struct PermitRequest { 1: required list<PermitTarget> targets, 2: required string account,
+// Requests for grants to send to targets with a limit. A grant without target is refused.
+struct QuotaTarget { 1: required string target_id, 2: required double rate }
+struct QuotaRequest { 1: required list<QuotaTarget> targets, 2: required string account,
   3: required i32 priority, 4: required i32 max_wait_ms, 5: required bool resumed }
-struct PermitRequests { 1: required string service_name, 2: required list<PermitRequest> requests }
-struct Permit { 1: required string target_id, 2: required i32 delay_ms, 3: required i32 retry_after_ms }
-struct Permits { 1: required list<Permit> permits }
+struct QuotaRequests { 1: required string service_name, 2: required list<QuotaRequest> requests }
+struct QuotaGrant { 1: required string target_id, 2: required i32 delay_ms, 3: required i32 retry_after_ms }
+struct QuotaGrants { 1: required list<QuotaGrant> grants }
 
 struct Watch { 1: required NodeReport node, 2: required i64 hub_incarnation, 3: required i64 position,
   4: required i64 known_version, 5: required bool wants_bundle, 6: required list<RunReport> runs,
--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -201,22 +201,22 @@
         message = strict.encode(message_class(reports=reports))
         return await state.link.call(kind, message, REPORT_TIMEOUT_SECONDS)
 
-    async def request_permits(self, address: str, message: bytes, timeout_s: float):
-        """Asks a hub for permits to send requests to targets with a limit.
+    async def request_grants(self, address: str, message: bytes, timeout_s: float):
+        """Asks a hub for grants to send requests to targets with a limit.
 
         Args:
             address: Peer address of a reachable hub.
-            message: Encoded PermitRequests of `hub_thrift`.
+            message: Encoded QuotaRequests of `hub_thrift`.
             timeout_s: Longest time in seconds to wait for the answer.
 
         Returns:
-            Ok with the list of Permit of `hub_thrift`, or the failure.
+            Ok with the list of QuotaGrant of `hub_thrift`, or the failure.
         """
         link = self.state_by_address[address].link
-        result = await link.call(kinds.Kind.HUB_PERMITS, message, timeout_s)
+        result = await link.call(kinds.Kind.HUB_QUOTA, message, timeout_s)
         if result.is_ok():
-            result = strict.decode(hub_thrift.Permits, result.ok)
-        return result.map(lambda answer: answer.permits)
+            result = strict.decode(hub_thrift.QuotaGrants, result.ok)
+        return result.map(lambda answer: answer.grants)
 
     def _schedule_reports(self):
         if self._report_timer is None:
--- a/chiveswitch/peers/kinds.py
+++ b/chiveswitch/peers/kinds.py
@@ -21,4 +21,4 @@
     HUB_REPORT_RUNS = 52
     HUB_REPORT_PROMPTS = 53
     HUB_REPORT_LIMITS = 54
-    HUB_PERMITS = 55
+    HUB_QUOTA = 55
--- a/chiveswitch/tools/node_limits.py
+++ b/chiveswitch/tools/node_limits.py
@@ -1,6 +1,6 @@
-"""A node's exchange of limits and permits with the hubs.
+"""A node's exchange of limits and grants with the hubs.
 
-Every hub is the issuer of some services' permits. Reports of limits reach all nodes through any
+Every hub is the issuer of some services' grants. Reports of limits reach all nodes through any
 hub.
 """
 
@@ -8,20 +8,20 @@
 
 import expression
 
-from chiveswitch.core import clock, codes, permits, rate_limits
+from chiveswitch.core import clock, codes, quota, rate_limits
 from chiveswitch.peers import hub, kinds, strict
 
 hub_thrift = hub.hub_thrift
 
-# Timeout in seconds of a request for permits. The gateway uses its own share of a limit after that.
-PERMIT_TIMEOUT_SECONDS = 0.15
-# Seconds without contact to the control leader after which a hub issues no permits: the hub may be
+# Timeout in seconds of a request for grants. The gateway uses its own share of a limit after that.
+QUOTA_TIMEOUT_SECONDS = 0.15
+# Seconds without contact to the control leader after which a hub issues no grants: the hub may be
 # cut off from the gateways, which then ask another one.
 MAX_LEADER_SILENCE_SECONDS = 2.0
 
 
 class LimitExchange:
-    """Sends and receives a node's reports of limits and requests for permits.
+    """Sends and receives a node's reports of limits and requests for grants.
 
     Attributes:
         handler_by_kind: Handlers of the messages of other nodes, by kind.
@@ -38,11 +38,11 @@
         """
         self.handler_by_kind = {
             kinds.Kind.HUB_REPORT_LIMITS: self._serve_limits,
-            kinds.Kind.HUB_PERMITS: self._serve_permits,
+            kinds.Kind.HUB_QUOTA: self._serve_quota,
         }
         self._node = node
-        self._issuer = permits.PermitIssuer(rng)
-        node.forwarder.limiter.connect(self._request_permits, self._report_limit)
+        self._issuer = quota.QuotaIssuer(rng)
+        node.forwarder.limiter.connect(self._request_grants, self._report_limit)
         node.view.on_limit_report = self._apply_report
         node.view.own_limits = self._own_limits
 
@@ -90,43 +90,43 @@
             self._node.hub.record_limit_report(report)
         return expression.Ok(b"")
 
-    # Permits.
+    # Grants.
 
     def _issuer_address(self, service) -> str:
-        """Returns the address of the hub that issues the permits of a service, "" for none."""
+        """Returns the address of the hub that issues the grants of a service, "" for none."""
         node = self._node
         addresses = [state.address for state in node.watcher.reachable_hubs()]
         if node.is_member():
             addresses.append(node.settings.peer_address)
-        return permits.choose_issuer(service, addresses) if addresses else ""
+        return quota.choose_issuer(service, addresses) if addresses else ""
 
-    async def _request_permits(self, service, requests):
-        """Returns the list of `permits.Permit` for some `permits.PermitRequest`, or None."""
+    async def _request_grants(self, service, requests):
+        """Returns the list of `quota.QuotaGrant` for some `quota.QuotaRequest`, or None."""
         address = self._issuer_address(service)
         if not address:
             return None
         if address == self._node.settings.peer_address:
             return self._issue(service, requests)
         message = encode_requests(service, requests)
-        result = await self._node.watcher.request_permits(address, message, PERMIT_TIMEOUT_SECONDS)
-        return [_decode_permit(each) for each in result.ok] if result.is_ok() else None
+        result = await self._node.watcher.request_grants(address, message, QUOTA_TIMEOUT_SECONDS)
+        return [_decode_grant(each) for each in result.ok] if result.is_ok() else None
 
     def _issue(self, service, requests):
-        """Returns the permits for a list of `permits.PermitRequest`, or None if not responsible."""
+        """Returns the grants for a list of `quota.QuotaRequest`, or None if not responsible."""
         node = self._node
         now = clock.now()
         silence_s = node.control.node.seconds_since_leader_contact(now)
         is_issuer = self._issuer_address(service) == node.settings.peer_address
         if silence_s > MAX_LEADER_SILENCE_SECONDS or not is_issuer:
-            node.log.line("hub", "permits_refused", service=service, leader_silence=silence_s)
+            node.log.line("hub", "quota_refused", service=service, leader_silence=silence_s)
             return None
         issued = []
         for request in requests:
             self._update_rates(request, now)
             issued.append(self._issuer.request(service, request, now))
-        granted_count = sum(bool(permit.target_id) for permit in issued)
-        node.metrics.count("permits_granted", granted_count)
-        node.metrics.count("permits_denied", len(issued) - granted_count)
+        granted_count = sum(bool(grant.target_id) for grant in issued)
+        node.metrics.count("quota_granted", granted_count)
+        node.metrics.count("quota_denied", len(issued) - granted_count)
         return issued
 
     def _update_rates(self, request, now):
@@ -139,16 +139,16 @@
             if rate is not None:
                 request.rate_by_target[target_id] = rate
 
-    def _serve_permits(self, payload, _trace):
-        decoded = strict.decode(hub_thrift.PermitRequests, payload)
+    def _serve_quota(self, payload, _trace):
+        decoded = strict.decode(hub_thrift.QuotaRequests, payload)
         if decoded.is_error():
             return decoded
         requests = decode_requests(decoded.ok)
         service = decoded.ok.service_name
         issued = self._issue(service, requests) if self._node.is_member() else None
         if issued is None:
-            return codes.failure(codes.Code.NOT_LEADER, "This node does not issue these permits.")
-        return expression.Ok(encode_permits(issued))
+            return codes.failure(codes.Code.NOT_LEADER, "This node does not issue these grants.")
+        return expression.Ok(encode_grants(issued))
 
 
 def _encode_report(report):
@@ -167,8 +167,8 @@
 def _encode_request(request):
     targets = []
     for target_id, rate in request.rate_by_target.items():
-        targets.append(hub_thrift.PermitTarget(target_id=target_id, rate=rate))
-    return hub_thrift.PermitRequest(
+        targets.append(hub_thrift.QuotaTarget(target_id=target_id, rate=rate))
+    return hub_thrift.QuotaRequest(
         targets=targets,
         account=request.account,
         priority=request.priority,
@@ -178,19 +178,19 @@
 
 
 def encode_requests(service: str, requests: list) -> bytes:
-    """Returns the message with a list of `permits.PermitRequest` for a service's targets."""
+    """Returns the message with a list of `quota.QuotaRequest` for a service's targets."""
     wire_requests = [_encode_request(request) for request in requests]
-    return strict.encode(hub_thrift.PermitRequests(service_name=service, requests=wire_requests))
+    return strict.encode(hub_thrift.QuotaRequests(service_name=service, requests=wire_requests))
 
 
 def decode_requests(message) -> list:
-    """Returns the `permits.PermitRequest` list of a decoded PermitRequests of `hub_thrift`."""
+    """Returns the `quota.QuotaRequest` list of a decoded QuotaRequests of `hub_thrift`."""
     return [_decode_request(each) for each in message.requests]
 
 
-def encode_permits(issued: list) -> bytes:
-    """Returns the message with a list of `permits.Permit`."""
-    return strict.encode(hub_thrift.Permits(permits=[_encode_permit(each) for each in issued]))
+def encode_grants(issued: list) -> bytes:
+    """Returns the message with a list of `quota.QuotaGrant`."""
+    return strict.encode(hub_thrift.QuotaGrants(grants=[_encode_grant(each) for each in issued]))
 
 
 def _decode_request(wire_request):
@@ -198,7 +198,7 @@
     for target in wire_request.targets:
         if 0 <= target.rate < math.inf:
             rate_by_target[target.target_id] = target.rate
-    return permits.PermitRequest(
+    return quota.QuotaRequest(
         rate_by_target,
         wire_request.account,
         wire_request.priority,
@@ -207,17 +207,17 @@
     )
 
 
-def _encode_permit(permit):
-    return hub_thrift.Permit(
-        target_id=permit.target_id,
-        delay_ms=math.ceil(permit.delay_s * hub.MS_PER_SECOND),
-        retry_after_ms=math.ceil(permit.retry_after_s * hub.MS_PER_SECOND),
+def _encode_grant(grant):
+    return hub_thrift.QuotaGrant(
+        target_id=grant.target_id,
+        delay_ms=math.ceil(grant.delay_s * hub.MS_PER_SECOND),
+        retry_after_ms=math.ceil(grant.retry_after_s * hub.MS_PER_SECOND),
     )
 
 
-def _decode_permit(wire_permit):
-    return permits.Permit(
-        wire_permit.target_id,
-        wire_permit.delay_ms / hub.MS_PER_SECOND,
-        wire_permit.retry_after_ms / hub.MS_PER_SECOND,
+def _decode_grant(wire_grant):
+    return quota.QuotaGrant(
+        wire_grant.target_id,
+        wire_grant.delay_ms / hub.MS_PER_SECOND,
+        wire_grant.retry_after_ms / hub.MS_PER_SECOND,
     )
--- a/chiveswitch/tools/node_limits_test.py
+++ b/chiveswitch/tools/node_limits_test.py
@@ -1,11 +1,11 @@
-"""Tests of the messages and the responsibilities for permits."""
+"""Tests of the messages and the responsibilities for grants."""
 
 import asyncio
 import math
 import random
 import types
 
-from chiveswitch.core import codes, decision_log, metrics, permits, target_table
+from chiveswitch.core import codes, decision_log, metrics, quota, target_table
 from chiveswitch.forwarding import forwarder, forwarder_test
 from chiveswitch.peers import hub, kinds, strict
 from chiveswitch.platform import headers
@@ -13,7 +13,7 @@
 
 ADDRESSES = [f"10.0.0.{number}:7" for number in range(4)]
 SERVICE = "desk"
-ISSUER = permits.choose_issuer(SERVICE, ADDRESSES)
+ISSUER = quota.choose_issuer(SERVICE, ADDRESSES)
 
 
 def make_node(address, reachable, leader_silence_s=0.0):
@@ -44,24 +44,24 @@
 
 
 def ask(node):
-    """Asks a node for one permit as another gateway does; returns the result of its handler."""
+    """Asks a node for one grant as another gateway does; returns the result of its handler."""
 
     async def scenario():
         exchange = node_limits.LimitExchange(node, random.Random(1))
-        request = permits.PermitRequest({"w": 2.0}, "account", 1, 0.1)
+        request = quota.QuotaRequest({"w": 2.0}, "account", 1, 0.1)
         message = node_limits.encode_requests(SERVICE, [request])
-        return exchange.handler_by_kind[kinds.Kind.HUB_PERMITS](message, "")
+        return exchange.handler_by_kind[kinds.Kind.HUB_QUOTA](message, "")
 
     return asyncio.run(scenario())
 
 
-def test_the_responsible_hub_issues_permits():
+def test_the_responsible_hub_issues_grants():
     others = [address for address in ADDRESSES if address != ISSUER]
     result = ask(make_node(ISSUER, others))
-    assert strict.decode(hub.hub_thrift.Permits, result.ok).ok.permits[0].target_id == "w"
+    assert strict.decode(hub.hub_thrift.QuotaGrants, result.ok).ok.grants[0].target_id == "w"
 
 
-def test_a_hub_issues_no_permits_if_another_one_may_do_so():
+def test_a_hub_issues_no_grants_if_another_one_may_do_so():
     # Guards against two hubs that both issue the whole limit, after the network was cut.
     other = next(address for address in ADDRESSES if address != ISSUER)
     result = ask(make_node(other, [ISSUER]))
@@ -71,19 +71,19 @@
     assert ask(make_node(other, [])).is_ok()
 
 
-def test_permit_messages_keep_their_contents():
-    request = permits.PermitRequest({"w1": 2.5, "w0": 0.0}, "account", 3, 0.25, True)
+def test_quota_messages_keep_their_contents():
+    request = quota.QuotaRequest({"w1": 2.5, "w0": 0.0}, "account", 3, 0.25, True)
     message = node_limits.encode_requests(SERVICE, [request])
-    decoded = strict.decode(hub.hub_thrift.PermitRequests, message).ok
+    decoded = strict.decode(hub.hub_thrift.QuotaRequests, message).ok
     found = node_limits.decode_requests(decoded)[0]
-    for name in permits.PermitRequest.__slots__:
+    for name in quota.QuotaRequest.__slots__:
         assert getattr(found, name) == getattr(request, name)
     assert list(found.rate_by_target) == ["w1", "w0"]
 
 
 def test_a_rate_that_is_no_number_is_left_out():
     # Guards against an issuer whose times become infinite.
-    request = permits.PermitRequest({"w0": math.nan, "w1": math.inf, "w2": -1.0, "w3": 1.0})
+    request = quota.QuotaRequest({"w0": math.nan, "w1": math.inf, "w2": -1.0, "w3": 1.0})
     message = node_limits.encode_requests(SERVICE, [request])
-    decoded = strict.decode(hub.hub_thrift.PermitRequests, message).ok
+    decoded = strict.decode(hub.hub_thrift.QuotaRequests, message).ok
     assert node_limits.decode_requests(decoded)[0].rate_by_target == {"w3": 1.0}
--- a/features/load/target_limits_test.py
+++ b/features/load/target_limits_test.py
@@ -2,7 +2,7 @@
 
 import random
 
-from chiveswitch.core import permits
+from chiveswitch.core import quota
 
 RATE_BY_TARGET = {f"w{number}": 2.5 for number in range(4)}
 TOTAL_RATE = sum(RATE_BY_TARGET.values())
@@ -21,25 +21,25 @@
 
 
 def play(demand_per_s, choose_arrival, seconds=SECONDS, seed=1):
-    """Plays random arrivals; returns all of them by whether they got a permit."""
+    """Plays random arrivals; returns all of them by whether they got a grant."""
     rng = random.Random(seed)
-    issuer = permits.PermitIssuer(rng)
+    issuer = quota.QuotaIssuer(rng)
     by_outcome = {True: [], False: []}
     now = 100.0
     while now < 100.0 + seconds:
         now += rng.expovariate(demand_per_s)
         arrival = choose_arrival(rng)
-        request = permits.PermitRequest(
+        request = quota.QuotaRequest(
             dict(RATE_BY_TARGET), arrival.account, arrival.priority, WAIT_SECONDS
         )
-        permit = issuer.request("desk", request, now)
-        arrival.refused_at, arrival.retry_after_s = now, permit.retry_after_s
-        by_outcome[bool(permit.target_id)].append(arrival)
+        grant = issuer.request("desk", request, now)
+        arrival.refused_at, arrival.retry_after_s = now, grant.retry_after_s
+        by_outcome[bool(grant.target_id)].append(arrival)
     return by_outcome
 
 
 def share_of(by_outcome, accept):
-    """Returns the share of the accepted arrivals that got a permit."""
+    """Returns the share of the accepted arrivals that got a grant."""
     granted = sum(accept(each) for each in by_outcome[True])
     return granted / (granted + sum(accept(each) for each in by_outcome[False]))
 
@@ -50,8 +50,8 @@
     assert len(by_outcome[True]) >= 0.95 * TOTAL_RATE * SECONDS
 
 
-def test_urgent_requests_get_the_permits_first_and_less_urgent_ones_some():
-    # Guards against less urgent requests that take the permits of urgent ones, and against their
+def test_urgent_requests_get_the_grants_first_and_less_urgent_ones_some():
+    # Guards against less urgent requests that take the grants of urgent ones, and against their
     # starvation.
     def choose(rng):
         return Arrival("a", 1 if rng.random() < 0.8 else 2)
@@ -63,7 +63,7 @@
     assert other > 0.4 * len(by_outcome[True]) / (6 * TOTAL_RATE * SECONDS)
 
 
-def test_a_large_account_does_not_take_the_permits_of_the_others():
+def test_a_large_account_does_not_take_the_grants_of_the_others():
     # Guards against one account with most of the requests that leaves the others without service,
     # and against accounts that get nothing because they are large.
     def choose(rng):
--- a/features/permit_benchmark.py
+++ b/features/quota_benchmark.py
@@ -1,4 +1,4 @@
-"""Measures the processor time of permits: `python -m features.permit_benchmark`.
+"""Measures the processor time of grants: `python -m features.quota_benchmark`.
 
 A request has `CANDIDATES` targets; messages have several requests, as from a gateway with so many
 requests waiting. Connections and system calls are not included.
@@ -7,7 +7,7 @@
 import random
 import time
 
-from chiveswitch.core import permits
+from chiveswitch.core import quota
 from chiveswitch.peers import hub, strict
 from chiveswitch.tools import node_limits
 
@@ -19,23 +19,23 @@
 def measure(batch: int) -> float:
     """Returns the microseconds of processor time for each request in messages of a size."""
     rng = random.Random(1)
-    issuer = permits.PermitIssuer(rng)
+    issuer = quota.QuotaIssuer(rng)
     payloads = []
     for _ in range(MESSAGES):
         requests = []
         for _ in range(batch):
             targets = {f"i-{rng.randrange(100):010d}": 2.5 for _ in range(CANDIDATES)}
             requests.append(
-                permits.PermitRequest(targets, f"account-{rng.randrange(ACCOUNTS)}", 1, 0.1)
+                quota.QuotaRequest(targets, f"account-{rng.randrange(ACCOUNTS)}", 1, 0.1)
             )
         payloads.append(node_limits.encode_requests("service", requests))
     started = time.process_time()
     for number, payload in enumerate(payloads):
-        message = strict.decode(hub.hub_thrift.PermitRequests, payload).ok
+        message = strict.decode(hub.hub_thrift.QuotaRequests, payload).ok
         issued = []
         for request in node_limits.decode_requests(message):
             issued.append(issuer.request("service", request, 100.0 + number / 100))
-        node_limits.encode_permits(issued)
+        node_limits.encode_grants(issued)
     return (time.process_time() - started) / (MESSAGES * batch) * 1e6
 
 
