Answer requests for grants even if the issuer cannot be asked

An unexpected error while the issuer is asked left the waiting requests of a service without an answer, beyond their deadlines. They use the gateway's own share now, and the error is logged. Found by reading; the test with an error hung before.

--- a/chiveswitch/forwarding/rate_limiter.py
+++ b/chiveswitch/forwarding/rate_limiter.py
@@ -7,10 +7,13 @@
 """
 
 import asyncio
+import logging
 import math
 
 from chiveswitch.core import clock, quota, rate_limits, retry
 
+log = logging.getLogger("chiveswitch.forwarding")
+
 # Largest number of targets among which the issuer chooses for one request.
 MAX_CANDIDATES = 8
 # Largest number of requests in one message to the issuer.
@@ -255,7 +258,12 @@
         """Asks the issuer until no request for a grant is left."""
         while waiting := self._waiting_by_service[service]:
             batch, self._waiting_by_service[service] = waiting[:MAX_BATCH], waiting[MAX_BATCH:]
-            answers = await self.issue(service, [request for request, _ in batch])
+            try:
+                answers = await self.issue(service, [request for request, _ in batch])
+            # The waiting requests must get an answer in any case.
+            except Exception:
+                log.exception("gateway: the issuer of %s could not be asked", service)
+                answers = None
             if answers is None or len(answers) != len(batch):
                 batch += self._waiting_by_service[service]
                 self._waiting_by_service[service] = []
--- a/chiveswitch/forwarding/rate_limiter_test.py
+++ b/chiveswitch/forwarding/rate_limiter_test.py
@@ -3,6 +3,8 @@
 import asyncio
 import types
 
+import pytest
+
 from chiveswitch.core import clock, quota
 from chiveswitch.forwarding import forwarder_test
 
@@ -76,11 +78,14 @@
     forwarder_test.run(scenario, tmp_path)
 
 
-def test_a_gateway_without_an_issuer_uses_its_share_of_a_limit(tmp_path):
+@pytest.mark.parametrize("error", [None, OSError("no issuer")])
+def test_a_gateway_without_an_issuer_uses_its_share_of_a_limit(tmp_path, error):
     # Guards against gateways that all use the whole limit, or wait, while the issuer is away.
     async def scenario(fixture):
         async def fail_to_issue(_service, _requests):
             await asyncio.sleep(0.05)
+            if error is not None:
+                raise error
 
         limiter = fixture.gateway.limiter
         limiter.connect(fail_to_issue, lambda report: None)
