Close the weight store's client in the test of orders over HTTP

Cause: the test before it in the file left a connection of aiosonic open after its event loop. When the garbage collector ran its StreamWriter's finalizer while hypothesis was parsing a source, pytest formatted the finalizer's traceback, which parses again; CPython 3.11.6 then raises SystemError.

--- a/chiveswitch/engine_orders/controller_test.py
+++ b/chiveswitch/engine_orders/controller_test.py
@@ -171,6 +171,7 @@
         report = await orders_client.read_back(address, "e1")
     finally:
         loading_task.cancel()
+        await client.close()
         await serving.stop(server)
         await serving.stop(store)
     return results, report, engine
--- a/chiveswitch/engine_orders/weight_store.py
+++ b/chiveswitch/engine_orders/weight_store.py
@@ -95,6 +95,10 @@
         self._client = aiosonic.HTTPClient()
         self._now = now
 
+    async def close(self):
+        """Closes all connections."""
+        await self._client.aclose()
+
     async def fetch(self, triple) -> expression.Result:
         """Fetches the weights of a (model, adapter, version), after waiting for the rate limit.
 
