--- a/chiveswitch/forwarding/channel.py
+++ b/chiveswitch/forwarding/channel.py
@@ -16,7 +16,7 @@
 MAX_FRAMING_BYTES = 64 * 1024
 # Largest number of responses to other requests that are skipped before the expected one.
 MAX_STRAY_RESPONSES = 4
-# Number of unusable request ids after which a channel is not reused any more.
+# Number of `answered_ids` from which on a channel is not reused any more.
 MAX_ANSWERED_IDS = 64
 
 
