Review case 2: a returning stream goes on from another request's memory

Rule MIXED: after the kill of one node the client of a stream returns to another node and gets the rest of a different request's response, as part of a complete response with status 200. Both requests belong to one session and have the same sum of prompt and longest response.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,109 +1,130 @@
-"""Heartbeats of another writer end the publication of configs and of leaving workers."""
+"""A stream that returns after the loss of its node goes on from another request's memory."""
 
 import asyncio
-import json
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import stand_ins as si
 
-# Nodes without a disk, which learn configs and workers from the others only.
-PLAIN_NODES = (4, 5)
-DROPPED_KEY = "key-2"
-# Time after the acknowledgement of the config in which requests with the dropped key are sent.
-WATCHED_SECONDS = 20.0
+# Nodes that take the two requests, and the one to which the client of the first one returns.
+FIRST_NODE, SECOND_NODE, OTHER_NODE = 4, 0, 5
+# Time from the start of the second request to the kill of the first node.
+KILL_AFTER_SECONDS = 1.0
+FIRST_BODY, SECOND_BODY = b"digest of the night shift", b"digest of the day shift"
+# Both requests belong to one session, so that their prompts have the same last part. Its clients
+# allow 9,000 tokens for prompt and response together.
+FIRST_USAGE, FIRST_PREFIX = "8200,800", "5c1e07a2:200,e4402b7d:8000"
+SECOND_USAGE, SECOND_PREFIX = "8500,500", "5c1e07a2:200,e4402b7d:8300"
 
 
-def config(version: int, keys: list) -> dict:
-    """Returns a config with the keys of the only tenant."""
-    return si.make_config(version, tenants=[{"name": "tenant-1", "api-keys": keys, "priority": 1}])
+class StreamClient:
+    """A client that reads a stream, and returns with `Last-Event-Id` after a broken channel.
 
-
-async def send_foreign_heartbeats(deployment, record):
-    """Sends a heartbeat to one node after the other, as a writer that picks a node each time.
-
-    It names a service that no config names, and its sequence is a number that does not fit into
-    a signed 64-bit integer.
+    Attributes:
+        events: (id, data) of each event.
+        is_complete: Whether the stream has ended as complete.
     """
-    for node in range(deployment.count):
-        document = {
-            "service": "archive",
-            "address": "127.0.0.1:9",
-            "zone": "werkhalle",
-            "version": "v1",
-            "slots": 1,
-            "state": "ready",
-            "cold-remaining-ms": 0,
-            "sequence": 18446744073709551615,
-            "born": int(time.time() * 1000),
+
+    def __init__(self, deployment, record, name: str, body: bytes, usage: str, prefix: str):
+        self.events = []
+        self.is_complete = False
+        self._deployment = deployment
+        self._record = record
+        self._name = name
+        self._body = body
+        self._headers = {
+            "Host": si.HOST,
+            "X-Model": "m",
+            "X-Token-Usage": usage,
+            "X-Prompt-Prefix": prefix,
+            "X-Deadline-Ms": "25000",
+            "Authorization": f"Bearer {si.KEY}",
         }
-        body = json.dumps(document).encode()
-        address = deployment.address(node, "control")
-        answer = await si.request(address, "PUT", "/instances/other-1", {}, body)
-        record.say("other writer: heartbeat to node", node, "answered with", answer.status)
-        await asyncio.sleep(si.HEARTBEAT_SECONDS)
+
+    async def run(self, nodes: list):
+        """Sends the request to the first node, and after a broken channel to the next one."""
+        for attempt, node in enumerate(nodes):
+            request_id = f"{self._name}-{attempt}"
+            headers = {**self._headers, "X-Request-Id": request_id}
+            if self.events:
+                headers["Last-Event-Id"] = str(self.events[-1][0])
+            self._record.line("client:", request_id, self._body, "to node", node, headers)
+            await self._read(node, headers)
+            self._record.line(
+                "client:", request_id, "has", len(self.events), "events, end:", self.is_complete
+            )
+            if self.is_complete:
+                return
+
+    async def _read(self, node, headers):
+        host, _, port = self._deployment.address(node, "front").rpartition(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return
+        writer.write(si.encode_request("POST", "/s/x", headers, self._body))
+        head = await si.read_head(reader)
+        if head is None or " 200 " not in head[0]:
+            self._record.line("client:", head)
+            return
+        data = b""
+
+        def keep(chunk):
+            nonlocal data
+            *blocks, data = (data + chunk).split(b"\n\n")
+            for block in blocks:
+                first, second = block.split(b"\n")
+                self.events.append((int(first[4:]), second[6:]))
+
+        try:
+            await si.read_body(reader, head[1], keep)
+            self.is_complete = True
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
 
 
 async def scenario(deployment, record):
     await deployment.start_all()
-    await deployment.publish(config(3, [si.KEY, DROPPED_KEY]))
+    await deployment.publish(si.make_config(3, backups=True))
     workers = []
     for number in range(4):
-        worker = si.Worker(deployment, record, f"i-{number}", "order-desk", number)
+        worker = si.Worker(deployment, record, f"i-{number}", "model-floor", number)
         await worker.start(deployment.address(number, "control"))
         workers.append(worker)
     await deployment.wait_until_ready()
-    await asyncio.sleep(si.CONTACT_SECONDS + 1)
-    clients = si.Clients(deployment, record)
-    load = asyncio.ensure_future(clients.run(list(range(deployment.count)), 35.0))
-    headers = {"Authorization": f"Bearer {DROPPED_KEY}"}
-    before = [await clients.call(node, headers=headers) for node in PLAIN_NODES]
-    if any(answer.status != 200 for answer in before):
-        raise si.CannotRun("the key was not served before it was dropped")
+    await asyncio.sleep(si.CONTACT_SECONDS)
+    first = StreamClient(deployment, record, "first", FIRST_BODY, FIRST_USAGE, FIRST_PREFIX)
+    second = StreamClient(
+        deployment, record, "second", SECOND_BODY, SECOND_USAGE, SECOND_PREFIX
+    )
+    streams = [asyncio.ensure_future(first.run([FIRST_NODE, OTHER_NODE]))]
+    await asyncio.sleep(0.5)
+    streams.append(asyncio.ensure_future(second.run([SECOND_NODE])))
+    await asyncio.sleep(KILL_AFTER_SECONDS)
     if si.TROUBLE:
-        await send_foreign_heartbeats(deployment, record)
-
-    acknowledged_at = await deployment.publish(config(5, [si.KEY]))
-    record.say("version 5, which drops the key, is acknowledged")
-    leaver = workers[1]
-    leaver.state = "draining"
-    answer = await leaver.send_beat()
-    if answer.status != 200:
-        raise si.CannotRun(f"the leave was answered with {answer.status}")
-    left_at = time.monotonic()
-    record.say("worker", leaver.worker_id, "is acknowledged as draining")
-
-    await asyncio.sleep(si.APPLY_SECONDS + si.TOLERANCE_SECONDS)
-    served = []
-    while time.monotonic() < acknowledged_at + WATCHED_SECONDS:
-        for node in PLAIN_NODES:
-            sent_at = time.monotonic()
-            answer = await clients.call(node, headers=headers)
-            if answer.status == 200:
-                served.append(sent_at - acknowledged_at)
-        await asyncio.sleep(0.2)
-    await load
+        deployment.kill(FIRST_NODE)
+        record.say("node", FIRST_NODE, "is killed; it served the first request")
+    await asyncio.gather(*streams)
     for worker in workers:
         await worker.stop()
-    late = [
-        at - left_at
-        for at, _ in leaver.arrivals
-        if at > left_at + si.DRAIN_SECONDS + si.TOLERANCE_SECONDS
-    ]
+    if not (first.events and second.events):
+        raise si.CannotRun("a stream was not served")
     broken = []
-    if served:
+    foreign = [number for number, data in first.events if data != FIRST_BODY]
+    if foreign:
         broken.append(
-            f"CONFIG: {len(served)} requests with a dropped key were served "
-            f"{served[0]:.1f} to {served[-1]:.1f} s after the acknowledgement"
-        )
-    if late:
-        record.say(
-            f"also DRAIN: {len(late)} requests reached {leaver.worker_id} {late[0]:.1f} to "
-            f"{late[-1]:.1f} s after it was acknowledged as draining"
+            f"MIXED: the client of {FIRST_BODY.decode()!r} got events {foreign[0]} to "
+            f"{foreign[-1]} of {SECOND_BODY.decode()!r}"
         )
+    for worker in workers:
+        for request_id, body, source in worker.resumed:
+            owner = FIRST_BODY if "/first-" in source else SECOND_BODY
+            if body != owner:
+                broken.append(f"MIXED: {request_id} went on from the memory {source}")
     return broken
 
 
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -214,6 +214,7 @@
         disk_nodes: Numbers of the nodes with a disk.
         count: Number of nodes at the start; further ones may be started later.
         process_by_node: The running process of each node, by number.
+        worker_by_address: The `Worker` at each address.
     """
 
     def __init__(self, folder: pathlib.Path, record: Record, disks: int = 4, plain: int = 2):
@@ -221,6 +222,7 @@
         self.disk_nodes = set(range(disks))
         self.count = disks + plain
         self.process_by_node = {}
+        self.worker_by_address = {}
         self._record = record
         self._deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
         self._net = ".".join(str(random.randrange(20, 250)) for _ in range(2))
@@ -363,7 +365,11 @@
 class Worker:
     """A worker that registers, runs calls and streams, and records what reached it.
 
+    An event of a stream names the body of the request whose memory it was made from.
+
     Attributes:
+        copies: Body of the request by id of each run of which this worker keeps a copy.
+        resumed: (request id, body, `Kv-From`) of each request that went on from a copy.
         arrivals: (time, request id) of each request that reached this boot of the worker.
         work_seconds: Time that a call takes.
         events: Number of events of a stream.
@@ -376,6 +382,8 @@
         self.worker_id = worker_id
         self.service = service
         self.arrivals = []
+        self.copies = {}
+        self.resumed = []
         self.work_seconds = 0.02
         self.events = 40
         self.event_seconds = 0.05
@@ -395,6 +403,7 @@
         """Listens, and registers at a node that serves `control`."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self._deployment.worker_by_address[self.address] = self
         self.beat_address = control_address
         self._beat_task = asyncio.ensure_future(self._beat())
 
@@ -476,19 +485,31 @@
         self._record.line("worker", self.worker_id, "runs", request_id, method, target)
         fields = {"X-Request-Id": request_id, "X-Response-Seal": f"seal-{self.worker_id}"}
         if "x-token-usage" in headers:
-            await self._stream(writer, headers, fields, request_id)
+            await self._stream(writer, headers, fields, request_id, body)
             return
         await asyncio.sleep(self.work_seconds)
         self._send(writer, 200, fields, f"{method} {target} {request_id}".encode())
 
-    async def _stream(self, writer, headers, fields, request_id):
+    async def _stream(self, writer, headers, fields, request_id, body):
+        memory = body
+        if source := headers.get("kv-from"):
+            address, _, run_id = source.rpartition("/")
+            if address != self.address or run_id not in self.copies:
+                self._send(writer, 503, {"X-Request-Id": request_id, "X-Not-Executed": "1"})
+                return
+            memory = self.copies[run_id]
+            self.resumed.append((request_id, body, source))
+            self._record.line("worker", self.worker_id, request_id, body, "goes on from", source)
+        holder = self._deployment.worker_by_address.get(headers.get("x-kv-backup"))
         fields = {**fields, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         self._write_head(writer, 200, fields)
         for number in range(int(headers.get("last-event-id", -1)) + 1, self.events):
             await asyncio.sleep(self.event_seconds)
             if writer.is_closing():
                 return
-            event = b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
+            event = b"id: %d\ndata: %s\n\n" % (number, memory)
+            if holder is not None:
+                holder.copies[request_id] = memory
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -503,7 +524,7 @@
         writer.write(body)
 
 
-def make_config(version: int, **changes) -> dict:
+def make_config(version: int, backups: bool = False, **changes) -> dict:
     """Returns a config with a route for calls of each kind and one for streams."""
 
     def route(name, prefix, kind, service, **more):
@@ -521,7 +542,7 @@
             **more,
         }
 
-    engine = {"slots": 32, "kv-capacity-tokens": 88000, "backups": False, "handle-s": 4.0}
+    engine = {"slots": 32, "kv-capacity-tokens": 88000, "backups": backups, "handle-s": 4.0}
     engine |= {"kv-token-bytes": 35136, "link-mbps": 180000.0, "moves": False, "stride": 6}
     stream = {"timeout-ms": 25000, "target-latency-ms": 4500, "priority": 1, "max-attempts": 5}
     stream |= {"sticky": True, "resumable": True, "target-gap-ms": 700}
