Keep leaves of targets on the disks of the hubs

What callers saw: after a kill of all processes at once, calls went to a worker that had been acknowledged as gone, when a heartbeat that it had sent before it left arrived after the restart.

Cause: a leave was acknowledged when a majority of the hubs had it in memory; with all processes gone nobody remembered it.

Why this fix works: each hub writes its leaves to a file of its data folder before it counts as one that has stored a leave, and an acknowledgement needs a majority of such hubs. After a kill or a loss of power at least one hub that starts has the leave, publishes it, and the nodes keep it as a tombstone.

--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -129,6 +129,8 @@
         incarnation: Random number drawn at the start; positions of different incarnations are not
             comparable.
         position: Position of the latest change.
+        leave_position: Position of the latest change that a target drains or has gone.
+        now: Clock in seconds.
         members: Function that returns the `Members`.
         published: Function that returns the `PublishedBundle`.
         is_member: Function that returns whether this process is a control member and thus a hub.
@@ -138,6 +140,8 @@
     __slots__ = (
         "incarnation",
         "position",
+        "leave_position",
+        "now",
         "members",
         "published",
         "is_member",
@@ -147,7 +151,6 @@
         "_watch_futures",
         "_announced_version_by_node",
         "_prompt_keys",
-        "_now",
         "_answer_timer",
     )
 
@@ -156,10 +159,11 @@
 
         Args:
             heartbeat_s: Seconds between two announcements of a target.
-            now: Clock in seconds.
         """
         self.incarnation = secrets.randbits(62)
         self.position = 0
+        self.leave_position = 0
+        self.now = now
         self.members = members
         self.published = published
         self.is_member = is_member
@@ -170,7 +174,6 @@
         self._announced_version_by_node = {}
         # Keys of prompt reports, the oldest one first.
         self._prompt_keys = collections.deque()
-        self._now = now
         self._answer_timer = None
 
     # Recording of reports.
@@ -194,7 +197,7 @@
                 report.sequence = max(report.sequence, old.sequence)
             elif not new.replaces(old, old.overdue):
                 return
-            stored.last_report_at = self._now()
+            stored.last_report_at = self.now()
             is_unchanged = (old.state, old.address, old.service, old.born_ms) == (
                 new.state,
                 new.address,
@@ -219,6 +222,14 @@
             return False
         return entry.confirmed_state == report.state == entry.report.state
 
+    def leave_entries(self) -> list[Entry]:
+        """Returns the entries of targets that drain or have gone."""
+        return [
+            entry
+            for entry in self._entry_by_key.values()
+            if entry.kind == "targets" and entry.report.state != target_table.READY
+        ]
+
     def record_node_report(self, report):
         """Records the NodeReport that a node sends with each watch."""
         key = ("nodes", report.name)
@@ -231,7 +242,7 @@
                 return
             if stored.report == report:
                 # The time may lie ahead; see `_expect_transfer`.
-                stored.last_report_at = max(stored.last_report_at, self._now())
+                stored.last_report_at = max(stored.last_report_at, self.now())
                 return
         self._put(key, "nodes", report)
 
@@ -250,7 +261,7 @@
         stored = self._entry_by_key.get(key)
         if (
             stored is None
-            or self._now() - stored.last_report_at > RETENTION_SECONDS_BY_KIND["losses"] / 2
+            or self.now() - stored.last_report_at > RETENTION_SECONDS_BY_KIND["losses"] / 2
         ):
             self._put(key, "losses", report)
 
@@ -265,7 +276,7 @@
         """
         if not report.parts or report.outcome not in OUTCOMES:
             return
-        happened_at = self._now() - report.age_ms / MS_PER_SECOND
+        happened_at = self.now() - report.age_ms / MS_PER_SECOND
         if report.outcome == prompt_quarantine.Outcome.BEGAN:
             key = ("prompts", *report.parts)
             interval_s = BEGINNING_INTERVAL_SECONDS
@@ -293,7 +304,7 @@
         if not 0 <= report.rate < math.inf:
             return
         key = ("limits", report.target_id)
-        happened_at = self._now() - report.age_ms / MS_PER_SECOND
+        happened_at = self.now() - report.age_ms / MS_PER_SECOND
         stored = self._entry_by_key.get(key)
         if stored is not None:
             known = stored.report
@@ -308,9 +319,11 @@
 
     def _put(self, key, kind, report):
         self.position += 1
+        if kind == "targets" and report.state != target_table.READY:
+            self.leave_position = self.position
         # The dict keeps the order of insertion, so that entries stay sorted by position.
         self._entry_by_key.pop(key, None)
-        entry = Entry(self.position, kind, report, self._now())
+        entry = Entry(self.position, kind, report, self.now())
         self._entry_by_key[key] = entry
         self.on_change(entry)
         self.schedule_watch_answers()
@@ -333,7 +346,7 @@
 
     def sweep(self):
         """Marks silent nodes as gone and silent targets as overdue, and drops expired entries."""
-        now = self._now()
+        now = self.now()
         for key, entry in list(self._entry_by_key.items()):
             silence = now - entry.last_report_at
             if silence > RETENTION_SECONDS_BY_KIND[entry.kind]:
@@ -361,11 +374,11 @@
 
     async def run_sweeps(self):
         """Calls `sweep` at intervals until cancelled."""
-        swept_at = self._now()
+        swept_at = self.now()
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
-            overrun = self._now() - swept_at - SWEEP_INTERVAL_SECONDS
-            swept_at = self._now()
+            overrun = self.now() - swept_at - SWEEP_INTERVAL_SECONDS
+            swept_at = self.now()
             if overrun > SWEEP_INTERVAL_SECONDS:
                 # The process itself was suspended and could not receive reports. That time does not
                 # count as silence of the nodes and targets.
@@ -442,7 +455,7 @@
         """Extends the timeout of a node, whose next watch comes after it has received a bundle."""
         entry = self._entry_by_key.get(("nodes", node_name))
         if entry is not None and size:
-            entry.last_report_at = self._now() + size / SLOW_LINK_BYTES_PER_SECOND
+            entry.last_report_at = self.now() + size / SLOW_LINK_BYTES_PER_SECOND
 
     def _has_changes_for(self, watch):
         is_same_incarnation = watch.hub_incarnation == self.incarnation
@@ -491,7 +504,7 @@
         return answer
 
     def _aged_report(self, entry):
-        age_ms = int((self._now() - entry.last_report_at) * MS_PER_SECOND)
+        age_ms = int((self.now() - entry.last_report_at) * MS_PER_SECOND)
         return add_age(entry.report, max(0, age_ms) - entry.report.age_ms)
 
 
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -11,6 +11,11 @@
 // it, or the leaves that a node knows and a hub that has started does not.
 struct TargetReports { 1: required list<TargetReport> reports }
 
+// The leaves that a hub keeps in its data folder, each one an encoded StoredLeave. reported_at_ms: time
+// of day of the last report.
+struct StoredLeave { 1: required TargetReport report, 2: required i64 reported_at_ms }
+struct StoredLeaves { 1: required list<binary> leaves }
+
 // state: 0 ready, 1 draining, 2 gone.
 struct NodeReport { 1: required string name, 2: required i64 incarnation,
   3: required string availability_zone, 4: required string region, 5: required string caller_address,
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -30,7 +30,16 @@
     target_table,
 )
 from chiveswitch.forwarding import calls, forwarder, http_server, streams
-from chiveswitch.peers import control_client, control_server, hub, hub_watch, kinds, links, strict
+from chiveswitch.peers import (
+    control_client,
+    control_server,
+    hub,
+    hub_watch,
+    kinds,
+    leave_store,
+    links,
+    strict,
+)
 from chiveswitch.storage import data_folder, files
 from chiveswitch.tools import node_leaves, node_limits, node_view
 
@@ -125,6 +134,7 @@
         control: `control_server.ControlServer` of the own member, or None without a disk.
         client: `control_client.ControlClient`, which sends requests to the control leader.
         hub: `hub.Hub`, which serves watches while the node is a control member.
+        leave_store: `leave_store.LeaveStore` of the hub, or None without a disk.
         watcher: `hub_watch.Watcher`, which follows all hubs.
     """
 
@@ -138,6 +148,7 @@
         "control",
         "client",
         "hub",
+        "leave_store",
         "watcher",
         "_listeners",
         "_api_servers",
@@ -209,6 +220,7 @@
             self.is_member,
             self._on_hub_changed,
         )
+        self.leave_store = None
         self.control = None
         self.client = control_client.ControlClient(settings.seeds)
         self._listeners = listeners
@@ -365,6 +377,7 @@
     async def _close_control(self):
         if self.control is not None:
             await self.control.close()
+            await self.leave_store.close()
         elif self._peer_server is not None:
             await self._peer_server.close()
 
@@ -394,6 +407,8 @@
             settings=consensus.Settings(tolerated_losses=settings.losses),
             on_applied=self._apply_control_state,
         )
+        self.leave_store = leave_store.LeaveStore(self.hub, files.Files(), settings.data_folder)
+        self.leave_store.restore()
         await self.control.start()
         self._apply_control_state()
         return expression.Ok(None)
--- a/chiveswitch/tools/node_leaves.py
+++ b/chiveswitch/tools/node_leaves.py
@@ -45,18 +45,19 @@
             report: A TargetReport of `hub_thrift`.
 
         Returns:
-            Whether a majority of the hubs has stored the leave, so that it stays known after any
-            loss that control survives. After False the leave may be known to some hubs.
+            Whether a majority of the hubs has the leave on its disks, so that it stays known after
+            any loss that control survives, and after the end of all processes. After False the
+            leave may be known to some hubs.
         """
         node = self._node
-        addresses = set(node.hub.members().addresses) - {node.settings.peer_address}
-        # Number of other hubs that make a majority together with the own one.
-        needed = (len(addresses) + 1) // 2
-        if needed == 0 or node.hub.is_leave_confirmed(report):
+        if node.hub.is_leave_confirmed(report):
             return True
+        addresses = set(node.hub.members().addresses) - {node.settings.peer_address}
+        needed = (len(addresses) + 1) // 2 + 1
         states = [node.watcher.state_by_address.get(address) for address in addresses]
         # All hubs get the leave, also those that are not waited for.
-        tasks = [
+        tasks = [node.forwarder.spawn(self._store_here())]
+        tasks += [
             node.forwarder.spawn(self._store(state, report))
             for state in states
             if state is not None
@@ -72,6 +73,14 @@
         )
         return False
 
+    async def _store_here(self) -> bool:
+        """Stores the leaves of the own hub; returns False if that takes too long."""
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_SECONDS):
+                return await self._node.leave_store.store()
+        except TimeoutError:
+            return False
+
     async def _store(self, state, report) -> bool:
         """Sends a leave to a hub and returns whether the hub has stored it."""
         payload = strict.encode(hub_thrift.TargetReports(reports=[report]))
@@ -85,7 +94,7 @@
             result = strict.decode(hub_thrift.ReportAnswer, result.ok)
         return result.is_ok() and result.ok.accepted
 
-    def _serve_leaves(self, payload, _trace):
+    async def _serve_leaves(self, payload, _trace):
         decoded = strict.decode(hub_thrift.TargetReports, payload)
         if decoded.is_error():
             return decoded
@@ -95,6 +104,8 @@
         for report in decoded.ok.reports:
             if report.state in (target_table.DRAINING, target_table.GONE):
                 node.hub.record_target_report(report)
+        if not await node.leave_store.store():
+            return codes.failure(codes.Code.INTERNAL, "The leaves cannot be written to the disk.")
         return expression.Ok(b"")
 
     def _known_leaves(self, hub_reports):
--- a/chiveswitch/tools/node_leaves_test.py
+++ b/chiveswitch/tools/node_leaves_test.py
@@ -1,12 +1,15 @@
 """Tests of leaves that hubs in one process pass to each other over real links."""
 
 import asyncio
+import errno
+import time
 import types
 
 import expression
 
 from chiveswitch.core import clock, target_table
-from chiveswitch.peers import hub, hub_test, kinds, links, strict
+from chiveswitch.peers import hub, hub_test, kinds, leave_store, links, strict
+from chiveswitch.storage import wal_test
 from chiveswitch.tools import node_leaves, processes
 from features import platform_standins
 
@@ -14,6 +17,22 @@
 target = hub_test.target
 
 
+class SlowFiles(wal_test.FakeFiles):
+    """Files whose syncs take time.
+
+    Attributes:
+        sync_s: Seconds that each sync takes.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.sync_s = 0.0
+
+    def sync(self, handle):
+        time.sleep(self.sync_s)
+        super().sync(handle)
+
+
 class HubNode:
     """The part of a node that concerns leaves: a hub, and links to the hubs of other nodes.
 
@@ -22,6 +41,7 @@
         received: Kinds of the messages that arrived.
         delay_s: Seconds by which each message is delayed, or None to answer none.
         known_kinds: Kinds of messages that it understands.
+        files: `SlowFiles` of its data folder.
     """
 
     def __init__(self, members):
@@ -39,6 +59,9 @@
             self.changes.append,
             lambda: self.time,
         )
+        self.files = SlowFiles()
+        self.files.make_folder("data")
+        self.leave_store = leave_store.LeaveStore(self.hub, self.files, "data")
         self.table = target_table.TargetTable()
         self.view = types.SimpleNamespace()
         self.log = types.SimpleNamespace(line=lambda *parts, **fields: None)
@@ -70,7 +93,7 @@
         await asyncio.sleep(60.0 if self.delay_s is None else self.delay_s)
         if kinds.Kind.HUB_LEAVES not in self.known_kinds:
             return strict.decode(thrift.Report, b"")
-        return self.leaves.handler_by_kind[kinds.Kind.HUB_LEAVES](payload, trace)
+        return await self.leaves.handler_by_kind[kinds.Kind.HUB_LEAVES](payload, trace)
 
     def _serve_announcement(self, payload, _trace):
         self.received.append(kinds.Kind.HUB_REPORT)
@@ -90,6 +113,7 @@
         for state in self.watcher.state_by_address.values():
             await state.link.close()
         await self._server.close()
+        await self.leave_store.close()
 
 
 def run_with_hubs(count, scenario):
@@ -176,6 +200,23 @@
     run_with_hubs(3, scenario)
 
 
+def test_a_leave_is_acknowledged_when_a_majority_has_it_on_its_disks():
+    # Guards against a leave that is lost when all processes end, and against workers that wait for
+    # the slowest or a full disk.
+    async def scenario(hubs):
+        hubs[0].files.sync_s = 0.5
+        assert await hubs[0].leave(target("t", state=GONE))
+        hubs[1].files.errors_by_operation = {"sync": [errno.ENOSPC] * 9}
+        assert not await hubs[0].leave(target("u", state=GONE))
+        for each in hubs[1:3]:
+            assert {"t", "u"} == {entry.report.target_id for entry in each.hub.leave_entries()}
+        hubs[1].files.errors_by_operation = {}
+        # The worker calls again, and the nodes have left it meanwhile.
+        assert await hubs[0].leave(target("u", state=GONE))
+
+    run_with_hubs(3, scenario)
+
+
 def test_a_core_of_few_machines_acknowledges_what_all_of_it_has_stored():
     async def scenario(hubs):
         assert await hubs[0].leave(target("t", state=GONE))
--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -530,30 +530,48 @@
     run_with_cluster(tmp_path, scenario)
 
 
+async def return_after_kill(cluster, fleet, killed):
+    """Has a worker leave, kills nodes at once, and sends an older heartbeat after their restart.
+
+    Returns:
+        The number of calls that the worker got after that.
+    """
+    worker = fleet.workers[0]
+    fleet.stop_announcements(worker)
+    assert await leave_at(cluster, 0, worker) == 200
+    await asyncio.sleep(DRAIN_SECONDS)
+    for number in killed:
+        cluster.signal(number, signal.SIGKILL)
+    for number in killed:
+        cluster.wait(number)
+        cluster.start(number)
+    await wait_ready(cluster, killed)
+    await asyncio.sleep(1.5)
+    late = worker.heartbeat("plain", "a", 1)
+    path = f"/instances/{worker.worker_id}"
+    for number in range(cluster.disks):
+        address = cluster.address(number, "control")
+        await platform_standins.send_request(address, "PUT", path, body=late)
+    before = len(worker.runs)
+    # The worker counts as overdue soon, and is then used only if there is no other one.
+    await send_calls(cluster, range(4), 1.0)
+    return len(worker.runs) - before
+
+
 def test_a_worker_that_left_does_not_come_back_after_a_restart_of_all_hubs(tmp_path):
     # Guards against a late heartbeat that brings a worker back because the hubs have forgotten its
     # leave.
     async def scenario(cluster, fleet):
-        worker = fleet.workers[0]
-        fleet.stop_announcements(worker)
-        assert await leave_at(cluster, 0, worker) == 200
-        await asyncio.sleep(DRAIN_SECONDS)
-        for number in range(cluster.disks):
-            cluster.signal(number, signal.SIGKILL)
-        for number in range(cluster.disks):
-            cluster.wait(number)
-            cluster.start(number)
-        await wait_ready(cluster, range(cluster.disks))
-        await asyncio.sleep(1.5)
-        late = worker.heartbeat("plain", "a", 1)
-        path = f"/instances/{worker.worker_id}"
-        for number in range(cluster.disks):
-            address = cluster.address(number, "control")
-            await platform_standins.send_request(address, "PUT", path, body=late)
-        before = len(worker.runs)
-        # The worker counts as overdue soon, and is then used only if there is no other one.
-        await send_calls(cluster, range(4), 1.0)
-        assert len(worker.runs) == before
+        assert await return_after_kill(cluster, fleet, range(cluster.disks)) == 0
+
+    run_with_cluster(tmp_path, scenario)
+
+
+def test_a_worker_that_left_does_not_come_back_after_a_restart_of_all_nodes(tmp_path):
+    # Guards against a late heartbeat that brings a worker back because no process that runs has
+    # known its leave.
+    async def scenario(cluster, fleet):
+        assert await return_after_kill(cluster, fleet, range(len(cluster.ips))) == 0
 
     run_with_cluster(tmp_path, scenario)
 
