Compare all runs of equal requests before one is continued

What callers would see: after their connection broke, the rest of another, equal request of the same client account as the end of their response.

Cause: a returning caller gets the one abandoned run of its request. Runs without a copy, with an expired copy, or at a gateway that did not answer were left out of the count, although they may be the caller's own.

Evidence: three tests of returning_streams_test.py failed before, the stream went on from the copy of the other run in each of them.

Why this fix works: every run whose response is not known to be complete counts; if more than one may have been read by the caller, none is continued and the prompt is read again. A caller's own run that cannot be continued is ended, so that it does not count when the caller returns once more.

--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -157,22 +157,34 @@
         if not ids:
             del self._ids_by_digest[run.request_digest]
 
-    def find_resumable(self, request_digest: str, copy_kept_s: float, now: float) -> list[Run]:
-        """Returns the runs of a request that may be continued from their copies.
+    def find_undelivered(self, request_digest: str) -> list[Run]:
+        """Returns the runs of a request whose response is not known to be complete.
 
         There are several if a client account has sent equal requests. A run that has not ended
         belongs to its caller as long as that one is present, which the table does not know.
 
         Args:
             request_digest: Digest of the request.
-            copy_kept_s: Seconds for which an engine keeps a copy after the end of the run.
-            now: Current time in seconds.
         """
         runs = []
         for run_id in self._ids_by_digest.get(request_digest, ()):
             run = self.run_by_id[run_id]
-            is_over = run.ended and not (run.interrupted and now - run.changed_at <= copy_kept_s)
-            if run.copy_target_id and not is_over:
+            if run.interrupted or not run.ended:
+                runs.append(run)
+        return runs
+
+    def find_resumable(self, request_digest: str, copy_kept_s: float, now: float) -> list[Run]:
+        """Returns the undelivered runs of a request that may be continued from their copies.
+
+        Args:
+            request_digest: Digest of the request.
+            copy_kept_s: Seconds for which an engine keeps a copy after the end of the run.
+            now: Current time in seconds.
+        """
+        runs = []
+        for run in self.find_undelivered(request_digest):
+            is_expired = run.ended and now - run.changed_at > copy_kept_s
+            if run.copy_target_id and not is_expired:
                 runs.append(run)
         return runs
 
--- a/chiveswitch/forwarding/returning_streams_test.py
+++ b/chiveswitch/forwarding/returning_streams_test.py
@@ -4,7 +4,7 @@
 import copy
 
 from chiveswitch.core import clock, placement
-from chiveswitch.forwarding import forwarder_test
+from chiveswitch.forwarding import copies, forwarder_test
 from features import platform_standins
 
 BODY = b"prompt"
@@ -78,6 +78,16 @@
     return source_by_id
 
 
+def let_no_engine_hold_a_copy_of(monkeypatch, run_id):
+    """Makes the copies of a run find no engine with room."""
+    select_holder = copies.CopyManager._select_holder
+
+    def select_holder_of_others(manager, target):
+        return None if manager._run.run_id == run_id else select_holder(manager, target)
+
+    monkeypatch.setattr(copies.CopyManager, "_select_holder", select_holder_of_others)
+
+
 def run_with_two_gateways(tmp_path, scenario):
     async def with_two(fixture):
         for worker in await forwarder_test.add_engines(fixture, 4):
@@ -154,6 +164,72 @@
     run_with_two_gateways(tmp_path, scenario)
 
 
+def test_a_run_without_a_copy_may_be_the_one_that_a_caller_has_read(tmp_path, monkeypatch):
+    # Guards against a response of pieces of two runs: the caller's own run had no copy, and that of
+    # an equal request has one.
+    let_no_engine_hold_a_copy_of(monkeypatch, "r1")
+
+    async def scenario(fixture, other):
+        callers = [ReadingCaller(), ReadingCaller()]
+        await callers[0].start(fixture.address, "r1")
+        await callers[1].start(other.address, "r2")
+        await callers[0].leave(fixture, "r1")
+        await callers[1].leave(other, "r2")
+        await forwarder_test.stream(other, "r3", **{"Last-Event-Id": "4"})
+        assert sources(fixture.workers.values())["r3"] == ""
+
+    run_with_two_gateways(tmp_path, scenario)
+
+
+def test_a_run_whose_copy_has_expired_may_be_the_one_that_a_caller_has_read(tmp_path):
+    # Guards against a response of pieces of two runs after a caller returned late.
+    async def scenario(fixture, other):
+        callers = [ReadingCaller(), ReadingCaller()]
+        await callers[0].start(fixture.address, "r1")
+        await callers[1].start(other.address, "r2")
+        await callers[0].leave(fixture, "r1")
+        await callers[1].leave(other, "r2")
+        other.gateway.run_table.run_by_id["r1"].changed_at -= 20.0
+        await forwarder_test.stream(other, "r3", **{"Last-Event-Id": "4"})
+        assert sources(fixture.workers.values())["r3"] == ""
+
+    run_with_two_gateways(tmp_path, scenario)
+
+
+def test_the_run_of_a_silent_gateway_may_be_the_one_that_a_caller_has_read(tmp_path):
+    # Guards against a response of pieces of two runs: the caller has left a gateway that is frozen
+    # or cut off, and the run of an equal request is abandoned as well.
+    async def scenario(fixture, other):
+        callers = [ReadingCaller(), ReadingCaller()]
+        await callers[0].start(fixture.address, "r1")
+        await callers[1].start(other.address, "r2")
+        await callers[1].leave(other, "r2")
+        other.gateway.fetch_run_status = fetch_no_status
+        await forwarder_test.stream(other, "r3", **{"Last-Event-Id": "4"})
+        assert sources(fixture.workers.values())["r3"] == ""
+        callers[0].abort()
+
+    run_with_two_gateways(tmp_path, scenario)
+
+
+def test_a_caller_that_returns_twice_goes_on_from_its_latest_run(tmp_path, monkeypatch):
+    # Guards against prompts that are read again because the caller's first run, which could not be
+    # continued, is taken for that of another caller.
+    let_no_engine_hold_a_copy_of(monkeypatch, "r1")
+
+    async def scenario(fixture, other):
+        caller = await ReadingCaller().start(fixture.address, "r1")
+        await caller.leave(fixture, "r1")
+        later = {"Last-Event-Id": "2"}
+        caller = await ReadingCaller().start(other.address, "r2", **later)
+        await caller.leave(other, "r2")
+        await forwarder_test.stream(other, "r3", **{"Last-Event-Id": "4"})
+        assert sources(fixture.workers.values())["r2"] == ""
+        assert sources(fixture.workers.values())["r3"] == "r2"
+
+    run_with_two_gateways(tmp_path, scenario)
+
+
 def test_a_run_that_has_sent_less_than_the_caller_has_is_not_adopted(tmp_path):
     async def scenario(fixture, other):
         caller = await ReadingCaller().start(fixture.address, "r1")
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -224,37 +224,39 @@
     async def adopt_run(self):
         """Continues the run of the caller's earlier attempt, if its copy can be used.
 
-        Of several abandoned runs of equal requests none is continued, because nothing tells which
-        one the caller has read.
+        If several runs of equal requests may be the caller's own, none is continued, because
+        nothing tells which one the caller has read.
         """
         forwarder, engine = self.forwarder, self.admitted.service.engine
         if self.admitted.caller.last_event_id is None or not self.run.request_digest:
             return
-
-        def find_runs():
-            return forwarder.run_table.find_resumable(
-                self.run.request_digest, engine.copy_kept_s, clock.now()
-            )
-
-        known_runs = find_runs()
+        run_table, digest = forwarder.run_table, self.run.request_digest
+        known_runs = run_table.find_undelivered(digest)
         if len(known_runs) > MAX_EQUAL_RUNS:
             return
-        checks = await asyncio.gather(*(self._may_adopt(each) for each in known_runs))
-        abandoned_ids = set()
-        for run, may_adopt in zip(known_runs, checks, strict=True):
-            if may_adopt:
-                abandoned_ids.add(run.run_id)
-        if len(abandoned_ids) != 1:
+        statuses = await asyncio.gather(*(self._fetch_status(each) for each in known_runs))
+        status_by_id = {}
+        for run, status in zip(known_runs, statuses, strict=True):
+            if self._may_have_read(status):
+                status_by_id[run.run_id] = status
+        if len(status_by_id) != 1:
             return
+        ((run_id, status),) = status_by_id.items()
         # Another stream may have adopted the run meanwhile.
-        known_run = next((run for run in find_runs() if run.run_id in abandoned_ids), None)
-        if known_run is None or not self.copy_manager.is_copy_current(known_run):
+        known_run = next(
+            (run for run in run_table.find_undelivered(digest) if run.run_id == run_id), None
+        )
+        if known_run is None or not status.is_abandoned:
             return
+        resumable = run_table.find_resumable(digest, engine.copy_kept_s, clock.now())
+        # A run that cannot be continued is over as well: the response goes on in a new one.
         known_run.ended = True
         known_run.interrupted = False
         known_run.node = forwarder.node_name
         known_run.sequence += 1
         forwarder.report_run(known_run)
+        if known_run not in resumable or not self.copy_manager.is_copy_current(known_run):
+            return
         self.run.run_id = known_run.run_id
         self.run.sequence = known_run.sequence
         self.run.target_id = known_run.target_id
@@ -263,18 +265,24 @@
         self.run.copied_at = known_run.copied_at
         self.resumes_from_copy = True
 
-    async def _may_adopt(self, run) -> bool:
-        """Returns whether a run has lost its caller and has sent what this caller has received."""
+    async def _fetch_status(self, run) -> placement.RunStatus:
+        """Returns the `placement.RunStatus` of a run."""
         forwarder = self.forwarder
         if run.node == forwarder.node_name:
             status = forwarder.run_status(run.run_id)
         else:
             status = await forwarder.fetch_run_status(run)
-        # A gateway that does not answer has reported the interruption before, or the hubs have lost
-        # it as well.
-        is_abandoned = run.interrupted if status.is_abandoned is None else status.is_abandoned
+        if status.is_abandoned is None and run.interrupted:
+            # The gateway has reported the interruption before, or the hubs have lost it as well.
+            status.is_abandoned = True
+        return status
+
+    def _may_have_read(self, status) -> bool:
+        """Returns whether this caller may be the one that has lost a run."""
+        if status.is_abandoned is False:
+            return False
         last_id = status.last_event_id
-        return is_abandoned and (last_id is None or self.admitted.caller.last_event_id <= last_id)
+        return last_id is None or self.admitted.caller.last_event_id <= last_id
 
     def publish_run(self):
         """Stores the run in this gateway's table and reports it to other gateways."""
