Use no requested copy after another engine took its maker's address

What callers would see: events of another request, when an engine left, another one got its address and gave the same handle to another copy.

Cause: a requested copy is named by the address of the engine that made it and a handle that each engine counts by itself. is_copy_current compared the maker's start only, and took a maker that is gone for a sound one.

Evidence: test_a_requested_copy_is_not_used_after_another_engine_took_the_makers_address failed before, the stream went on from the old handle.

Why this fix works: the name of the copy is valid as long as nobody else can give it, which is while the address is free or still the maker's.

--- a/chiveswitch/core/target_table.py
+++ b/chiveswitch/core/target_table.py
@@ -506,6 +506,10 @@
         """Returns the target with an id, or None."""
         return self.target_by_id.get(target_id)
 
+    def find_at(self, address: str) -> Target | None:
+        """Returns the target with an address, or None."""
+        return self.target_by_id.get(self._id_by_address.get(address))
+
     def is_draining_or_gone(self, target_id: str) -> bool:
         """Returns whether a target is draining or no longer in the table."""
         target = self.target_by_id.get(target_id)
--- a/chiveswitch/forwarding/copies.py
+++ b/chiveswitch/forwarding/copies.py
@@ -117,7 +117,7 @@
         """Returns whether the engines that keep and identify a run's copy still know it.
 
         An engine that restarts loses its copies. If it made a copy on request, it may give the
-        same reference to the copy of another run.
+        same reference to the copy of another run; so may another engine that got its address.
         """
         table = self._forwarder.target_table
         holder = table.find(run.copy_target_id)
@@ -126,8 +126,10 @@
         dialect = self._forwarder.dialect
         if run.copy_reference == dialect.copy_reference(holder.address, run.run_id):
             return True
-        source = table.find(run.target_id)
-        return source is None or source.known_since <= run.copied_at
+        maker = table.find_at(dialect.copy_maker_address(run.copy_reference))
+        if maker is None:
+            return True
+        return maker.target_id == run.target_id and maker.known_since <= run.copied_at
 
     def _usable_holder(self, now):
         """Returns the engine that holds the copy if no recent loss excludes it, or None."""
--- a/chiveswitch/forwarding/exchange.py
+++ b/chiveswitch/forwarding/exchange.py
@@ -155,6 +155,10 @@
         """Returns the request that makes the source of a requested copy free it."""
         raise NotImplementedError
 
+    def copy_maker_address(self, reference: str) -> str:
+        """Returns the address of the engine that made a requested copy."""
+        raise NotImplementedError
+
     def decode_copy_response(self, response, source: str) -> str:
         """Returns the engines' reference of the copy, or an empty string if none was made."""
         raise NotImplementedError
--- a/chiveswitch/forwarding/returning_streams_test.py
+++ b/chiveswitch/forwarding/returning_streams_test.py
@@ -3,7 +3,7 @@
 import asyncio
 import copy
 
-from chiveswitch.core import clock, placement
+from chiveswitch.core import clock, placement, target_table
 from chiveswitch.forwarding import copies, forwarder_test
 from features import platform_standins
 
@@ -291,6 +291,16 @@
         gateway.table.apply_report("h", report, clock.now())
 
 
+async def wait_for_requested_copy(fixture, run_id):
+    """Has a gateway request a new copy of a run, and returns the run once it is made."""
+    run = fixture.gateway.run_table.run_by_id[run_id]
+    before = run.copy_target_id
+    fixture.table.record_loss(fixture.table.find(before), clock.now())
+    await platform_standins.wait_until(lambda: run.copy_target_id not in ("", before))
+    assert f"/h{run_id}" in run.copy_reference
+    return run
+
+
 def test_a_copy_whose_holder_has_restarted_is_not_used(tmp_path):
     async def scenario(fixture, other):
         caller = await ReadingCaller().start(fixture.address, "r1")
@@ -308,11 +318,7 @@
     # give the same one to the copy of another run at the same holder.
     async def scenario(fixture, other):
         caller = await ReadingCaller().start(fixture.address, "r1")
-        run = fixture.gateway.run_table.run_by_id["r1"]
-        before = run.copy_target_id
-        fixture.table.record_loss(fixture.table.find(before), clock.now())
-        await platform_standins.wait_until(lambda: run.copy_target_id not in ("", before))
-        assert "/hr1" in run.copy_reference
+        run = await wait_for_requested_copy(fixture, "r1")
         await caller.leave(fixture, "r1")
         restart_engine((fixture, other), run.target_id)
         await forwarder_test.stream(other, "r2", **{"Last-Event-Id": "4"})
@@ -321,6 +327,43 @@
     run_with_two_gateways(tmp_path, scenario)
 
 
+def replace_engine(gateways, target_id):
+    """Makes the gateways learn that an engine has left and that another one has its address."""
+    for gateway in gateways:
+        report = copy.copy(gateway.table.find(target_id).report)
+        report.state = target_table.GONE
+        gateway.table.apply_report("h", report, clock.now())
+        report = copy.copy(report)
+        report.target_id, report.state = f"{target_id}-next", target_table.READY
+        gateway.table.apply_report("h", report, clock.now())
+
+
+def test_a_requested_copy_is_not_used_after_another_engine_took_the_makers_address(tmp_path):
+    # Guards against the memory of another run: engines refer to a requested copy by the address of
+    # the engine that made it, where the next engine counts its handles anew.
+    async def scenario(fixture, other):
+        caller = await ReadingCaller().start(fixture.address, "r1")
+        run = await wait_for_requested_copy(fixture, "r1")
+        await caller.leave(fixture, "r1")
+        replace_engine((fixture, other), run.target_id)
+        await forwarder_test.stream(other, "r2", **{"Last-Event-Id": "4"})
+        assert sources(fixture.workers.values())["r2"] == ""
+
+    run_with_two_gateways(tmp_path, scenario)
+
+
+def test_a_requested_copy_is_used_after_its_maker_has_left(tmp_path):
+    async def scenario(fixture, other):
+        caller = await ReadingCaller().start(fixture.address, "r1")
+        run = await wait_for_requested_copy(fixture, "r1")
+        await caller.leave(fixture, "r1")
+        other.table.remove(run.target_id, clock.now())
+        await forwarder_test.stream(other, "r2", **{"Last-Event-Id": "4"})
+        assert sources(fixture.workers.values())["r2"] == "hr1"
+
+    run_with_two_gateways(tmp_path, scenario)
+
+
 def test_the_copy_of_an_engine_that_crashed_and_restarted_is_used(tmp_path):
     # Guards against reading prompts again after the crash for which the copies are made: the holder
     # identifies a copy that an engine sends by itself by the request id.
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -232,9 +232,13 @@
 
     def encode_copy_release(self, reference: str) -> bytes:
         """Returns the request that frees a moved copy at its source and its holder."""
-        source, _, handle = reference.partition("/")
+        source, handle = self.copy_maker_address(reference), reference.partition("/")[2]
         return f"DELETE /kv-handle/{handle} HTTP/1.1\r\nHost: {source}\r\n\r\n".encode("latin-1")
 
+    def copy_maker_address(self, reference: str) -> str:
+        """Returns the address in the reference of a moved copy, `source/handle`."""
+        return reference.partition("/")[0]
+
     def decode_copy_response(self, response, source: str) -> str:
         """Returns the reference of a moved copy, `source/handle`, or an empty string on failure."""
         if response.status != 200:
