Have reports of runs and losses acknowledged by a hub

What callers saw: prompts that are read again, and beside an equal request a condition under which the wrong run is continued.

Cause: reports went to the first connected hub without an answer. A hub that was frozen, cut off or no hub any more lost them, and without a reachable hub they were dropped.

Evidence: three new tests of hub_watch_test.py failed before: reports to a hub that does not answer reached no other one, reports without a hub never arrived, and there was no bound to queue them by.

Why this fix works: a batch is sent until a hub has acknowledged it, and the latest report of each run waits meanwhile, up to 2,000 of them.

--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -19,12 +19,14 @@
 REACHABLE_SECONDS = 2.0
 # Time after which one more hub is asked for a newer bundle that has not arrived.
 BUNDLE_TIMEOUT_SECONDS = 0.3
-# Time to wait for a hub's acknowledgement of reports of prompts or limits, and number of hubs that
-# are tried.
+# Time to wait for a hub's acknowledgement of reports, and number of hubs that are tried for reports
+# of prompts or limits.
 REPORT_TIMEOUT_SECONDS = 0.3
 MAX_REPORT_ATTEMPTS = 10
 # Reports of runs and losses are collected for this time and sent together.
 REPORT_BATCH_SECONDS = 0.02
+# Reports of runs, and of losses, that wait for a hub; further ones replace the oldest.
+MAX_QUEUED_REPORTS = 2000
 
 
 class HubState:
@@ -71,6 +73,12 @@
         return self.is_hub and now - heard_at < REACHABLE_SECONDS
 
 
+def _merge_queues(older: dict, newer: dict) -> dict:
+    """Returns the latest reports of both queues, by the id of their subject."""
+    merged = list({**older, **newer}.items())
+    return dict(merged[-MAX_QUEUED_REPORTS:])
+
+
 class HubWatcher:
     """Watches all hubs and sends the node's reports to them.
 
@@ -91,9 +99,10 @@
         "_own_address",
         "_task_by_address",
         "_restore_tasks",
-        "_queued_runs",
-        "_queued_losses",
-        "_report_timer",
+        "_queued_run_by_id",
+        "_queued_loss_by_target",
+        "_report_task",
+        "_report_hub",
         "_rng",
     )
 
@@ -124,9 +133,12 @@
         self._own_address = own_address
         self._task_by_address = {}
         self._restore_tasks = set()
-        self._queued_runs = []
-        self._queued_losses = []
-        self._report_timer = None
+        self._queued_run_by_id = {}
+        self._queued_loss_by_target = {}
+        # Sends the queued reports; None if there are none.
+        self._report_task = None
+        # Address of the hub that has acknowledged the latest reports.
+        self._report_hub = ""
         self._rng = rng
 
     def start(self):
@@ -136,6 +148,8 @@
     async def close(self):
         """Cancels all watches and closes their links."""
         tasks = [*self._task_by_address.values(), *self._restore_tasks]
+        if self._report_task is not None:
+            tasks.append(self._report_task)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -155,17 +169,24 @@
         return [state for state in self.state_by_address.values() if state.is_reachable(now)]
 
     def report_run(self, report):
-        """Queues the report of a run.
+        """Queues the report of a run, in place of an earlier one of the same run.
 
-        Queued reports are sent together to one connected hub, and are dropped if there is none.
+        Queued reports are sent together until a hub has acknowledged them.
         """
-        self._queued_runs.append(report)
-        self._schedule_reports()
+        self._queue(self._queued_run_by_id, report.run_id, report)
 
     def report_loss(self, report):
-        """Queues the report of a lost target; see `report_run`."""
-        self._queued_losses.append(report)
-        self._schedule_reports()
+        """Queues the report of a lost target for as long as hubs would keep it."""
+        self._queue(self._queued_loss_by_target, report.target_id, report)
+
+    def _queue(self, report_by_id, subject_id, report):
+        # The oldest report comes first.
+        report_by_id.pop(subject_id, None)
+        report_by_id[subject_id] = report
+        if len(report_by_id) > MAX_QUEUED_REPORTS:
+            del report_by_id[next(iter(report_by_id))]
+        if self._report_task is None:
+            self._report_task = asyncio.get_running_loop().create_task(self._send_queued())
 
     async def report_prompts(self, reports: list):
         """Sends reports of prompts until a hub has acknowledged them.
@@ -219,21 +240,44 @@
             result = strict.decode(hub_thrift.QuotaGrants, result.ok)
         return result.map(lambda answer: answer.grants)
 
-    def _schedule_reports(self):
-        if self._report_timer is None:
-            self._report_timer = asyncio.get_running_loop().call_later(
-                REPORT_BATCH_SECONDS, self._send_reports
+    async def _send_queued(self):
+        """Sends the queued reports of runs and losses until there are none."""
+        try:
+            while self._queued_run_by_id or self._queued_loss_by_target:
+                await asyncio.sleep(REPORT_BATCH_SECONDS)
+                run_by_id, self._queued_run_by_id = self._queued_run_by_id, {}
+                loss_by_target, self._queued_loss_by_target = self._queued_loss_by_target, {}
+                if await self._send_batch(list(run_by_id.values()), list(loss_by_target.values())):
+                    continue
+                self._queued_run_by_id = _merge_queues(run_by_id, self._queued_run_by_id)
+                self._queued_loss_by_target = _merge_queues(
+                    loss_by_target, self._queued_loss_by_target
+                )
+                self._drop_old_losses()
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+        finally:
+            self._report_task = None
+
+    async def _send_batch(self, runs, losses) -> bool:
+        """Sends reports to one hub after the other; returns whether one has acknowledged them."""
+        states = self.reachable_hubs()
+        self._rng.shuffle(states)
+        states.sort(key=lambda each: (each.address != self._report_hub, not each.link.connected))
+        for state in states:
+            watch = strict.encode(self._build_watch(state, runs, losses, False))
+            result = await state.link.call(
+                kinds.Kind.HUB_REPORT_RUNS, watch, REPORT_TIMEOUT_SECONDS
             )
+            if result.is_ok():
+                self._report_hub = state.address
+                return True
+        return False
 
-    def _send_reports(self):
-        self._report_timer = None
-        runs, self._queued_runs = self._queued_runs, []
-        losses, self._queued_losses = self._queued_losses, []
-        for state in self.reachable_hubs():
-            if state.link.connected:
-                watch = self._build_watch(state, runs, losses, False)
-                state.link.post(kinds.Kind.HUB_REPORT_RUNS, strict.encode(watch))
-                return
+    def _drop_old_losses(self):
+        oldest_ms = (clock.now() - hub.RETENTION_SECONDS_BY_KIND["losses"]) * hub.MS_PER_SECOND
+        for target_id, report in list(self._queued_loss_by_target.items()):
+            if report.at_ms < oldest_ms:
+                del self._queued_loss_by_target[target_id]
 
     def send_node_state(self):
         """Sends the node's state to all hubs, because the pending watches carry an older one."""
--- a/chiveswitch/peers/hub_watch_test.py
+++ b/chiveswitch/peers/hub_watch_test.py
@@ -7,7 +7,7 @@
 
 import expression
 
-from chiveswitch.core import target_table
+from chiveswitch.core import clock, target_table
 from chiveswitch.peers import hub, hub_test, hub_watch, kinds, links, strict
 from chiveswitch.tools import processes
 from features import platform_standins
@@ -26,6 +26,9 @@
         watches: The received watches.
         incarnation: Its incarnation.
         leaves: Ids of the targets of which it was told that they leave.
+        runs: (run id, sequence) of each report of a run.
+        losses: Ids of the targets in reports of losses.
+        acknowledges: Whether it answers reports of runs and losses.
     """
 
     def __init__(self, version, pause_s=hub.LONG_POLL_SECONDS, content=b"content"):
@@ -36,8 +39,15 @@
         self.watches = []
         self.incarnation = 1
         self.leaves = []
+        self.runs = []
+        self.losses = []
+        self.acknowledges = True
         self._server = links.Server(
-            {kinds.Kind.HUB_WATCH: self._serve_watch, kinds.Kind.HUB_LEAVES: self._serve_leaves}
+            {
+                kinds.Kind.HUB_WATCH: self._serve_watch,
+                kinds.Kind.HUB_LEAVES: self._serve_leaves,
+                kinds.Kind.HUB_REPORT_RUNS: self._serve_runs,
+            }
         )
 
     async def start(self):
@@ -74,6 +84,14 @@
         self.leaves += [each.target_id for each in reports]
         return expression.Ok(b"")
 
+    async def _serve_runs(self, payload, _trace):
+        if not self.acknowledges:
+            await asyncio.sleep(60.0)
+        reports = strict.decode(thrift.Watch, payload).ok
+        self.runs += [(each.run_id, each.sequence) for each in reports.runs]
+        self.losses += [each.target_id for each in reports.losses]
+        return expression.Ok(b"")
+
 
 class SlowConnections:
     """A proxy before a hub whose connections towards the node carry few bytes a second.
@@ -254,6 +272,89 @@
     asyncio.run(scenario())
 
 
+def run_report(run_id, sequence=1):
+    return thrift.RunReport(
+        run_id=run_id,
+        request_digest=":d",
+        target_id="t",
+        copy_target_id="",
+        tokens=1,
+        state=hub.RUN_ACTIVE,
+        node="n",
+        sequence=sequence,
+        copy_reference="",
+    )
+
+
+def loss_report(target_id):
+    at_ms = int(clock.now() * hub.MS_PER_SECOND)
+    return thrift.LossReport(target_id=target_id, node="n", at_ms=at_ms)
+
+
+def test_a_report_that_a_hub_does_not_acknowledge_reaches_another_one():
+    # Guards against runs and losses that no other gateway hears of, because the hub that was told
+    # was frozen or cut off.
+    async def scenario():
+        hubs = [ScriptedHub(version=5), ScriptedHub(version=5)]
+        async with watching(View(5, hubs[0].address), hubs) as watcher:
+            await platform_standins.wait_until(lambda: len(watcher.reachable_hubs()) == 2)
+            for number, silent in enumerate([*hubs, *hubs]):
+                for each in hubs:
+                    each.acknowledges = each is not silent
+                watcher.report_run(run_report(f"r{number}"))
+                watcher.report_loss(loss_report(f"t{number}"))
+                (current,) = [each for each in hubs if each.acknowledges]
+                await platform_standins.wait_until(
+                    lambda expected=(f"r{number}", 1), at=current: expected in at.runs, 2.0
+                )
+                assert f"t{number}" in current.losses
+
+    asyncio.run(scenario())
+
+
+def test_reports_wait_until_a_hub_is_reachable():
+    # Guards against a run that other gateways never hear of, because it began while its gateway was
+    # cut off from the hubs. Losses are reported for as long as they are of use.
+    async def scenario():
+        current = ScriptedHub(version=5)
+        watcher = hub_watch.HubWatcher(
+            View(5, current.address), [current.address], "10.0.0.9:90", random.Random(1)
+        )
+        watcher.report_run(run_report("r0", 1))
+        watcher.report_loss(loss_report("t0"))
+        await asyncio.sleep(hub.RETENTION_SECONDS_BY_KIND["losses"] + 0.1)
+        watcher.report_run(run_report("r0", 2))
+        watcher.report_run(run_report("r1", 1))
+        watcher.report_loss(loss_report("t1"))
+        await current.start()
+        watcher.start()
+        try:
+            await platform_standins.wait_until(lambda: len(current.runs) == 2, 3.0)
+            assert current.runs == [("r0", 2), ("r1", 1)]
+            assert current.losses == ["t1"]
+        finally:
+            await watcher.close()
+            await current.close()
+
+    asyncio.run(scenario())
+
+
+def test_reports_that_wait_for_a_hub_are_bounded():
+    # Guards against a gateway without hubs whose memory grows with each request.
+    async def scenario():
+        watcher = hub_watch.HubWatcher(View(5, ""), [], "10.0.0.9:90", random.Random(1))
+        for number in range(3 * hub_watch.MAX_QUEUED_REPORTS):
+            watcher.report_run(run_report(f"r{number}"))
+            watcher.report_loss(loss_report(f"t{number}"))
+        await asyncio.sleep(0.1)
+        queued = list(watcher._queued_run_by_id)
+        assert len(queued) == hub_watch.MAX_QUEUED_REPORTS
+        assert queued[-1] == f"r{3 * hub_watch.MAX_QUEUED_REPORTS - 1}"
+        await watcher.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_watch_goes_on_after_an_answer_that_cannot_be_applied():
     # Guards against a node that never hears of a hub again, because an error in the application of
     # one answer has ended the task of the watch.
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -727,9 +727,10 @@
         decoded = strict.decode(hub.hub_thrift.Watch, payload)
         if decoded.is_error():
             return decoded
-        if self.is_member():
-            self.hub.record_node_report(decoded.ok.node)
-            self.hub.record_watch_reports(decoded.ok)
+        if not self.is_member():
+            return codes.failure(codes.Code.NOT_LEADER, "This node is no hub.")
+        self.hub.record_node_report(decoded.ok.node)
+        self.hub.record_watch_reports(decoded.ok)
         return expression.Ok(b"")
 
     def _serve_prompts(self, payload, _trace):
