Let only machines that count towards the tolerated losses vote

What callers would see: control without a leader after the loss of machines of which any number may be lost.

Cause: the setting counts-as-loss was not read; every machine with a disk joined the control members.

Evidence: test_a_machine_that_may_be_lost_beside_others_is_no_member failed before, with a fourth voter.

Why this fix works: a machine that does not count never asks to join, so that its loss takes no vote away.

--- a/chiveswitch/core/node_settings.py
+++ b/chiveswitch/core/node_settings.py
@@ -14,6 +14,8 @@
         seeds: Peer addresses of processes through which the node tries to find the others.
         first_start: Whether the system starts for the first time, with empty disks.
         data_folder: Folder on the node's disk, or an empty string for a node without one.
+        may_vote: Whether the node joins the control members if it has a disk. Machines of which any
+            number may be lost must not, since a majority of the members has to remain.
         losses: Number of machines with a disk that may be lost at the same time.
         caller_address: Listening address for callers' requests.
         ready_address: Listening address for readiness probes.
@@ -37,6 +39,7 @@
         "seeds",
         "first_start",
         "data_folder",
+        "may_vote",
         "losses",
         "caller_address",
         "ready_address",
--- a/chiveswitch/platform/boot.py
+++ b/chiveswitch/platform/boot.py
@@ -67,6 +67,7 @@
         seeds=[f"{seed.rpartition(':')[0]}:{peer_port}" for seed in fields["seeds"]],
         first_start=fields.get("bootstrap", False),
         data_folder=fields.get("data-dir", ""),
+        may_vote=fields.get("counts-as-loss", True),
         losses=fields.get("fault-tolerance", {}).get("machines", 1),
         caller_address=listen["front"],
         ready_address=listen["ready"],
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -651,7 +651,7 @@
             self.client.update_addresses(members.addresses)
 
     async def _maintain_membership(self):
-        if self.control is None:
+        if self.control is None or not self.settings.may_vote:
             await asyncio.get_running_loop().create_future()
         while True:
             self._update_members()
--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -14,7 +14,7 @@
 from chiveswitch.core import clock
 from chiveswitch.forwarding import returning_streams_test
 from chiveswitch.platform import boot
-from chiveswitch.tools import processes
+from chiveswitch.tools import node, processes
 from features import engine_batch, platform_standins
 
 pytestmark = pytest.mark.processes
@@ -41,6 +41,7 @@
 internal-port-range = [{peer}, {peer}]
 seeds = {seeds}
 bootstrap = {first}
+counts-as-loss = {counts}
 {disk}
 serves = ["front", "control", "directory"]
 heartbeat-ms = 500
@@ -66,14 +67,16 @@
         folder: Folder of the nodes' settings, logs and data folders.
         environment: Additional environment variables of the nodes, by name.
         disks: Number of nodes with a disk. These are the first ones; the first three are seeds.
+        uncounted: Nodes whose loss does not count towards the tolerated losses.
         ips: Address of each node.
         port: Port of each listener by its name, the same on all nodes.
     """
 
-    def __init__(self, folder, disks=3, others=1, environment=None):
+    def __init__(self, folder, disks=3, others=1, environment=None, uncounted=frozenset()):
         self.folder = folder
         self.environment = environment or {}
         self.disks = disks
+        self.uncounted = uncounted
         # All addresses in 127.0.0.0/8 belong to the loopback interface.
         self.ips = [f"127.0.1.{number + 1}" for number in range(disks + others)]
         names = ("peer", "front", "ready", "control", "directory", "metrics")
@@ -104,6 +107,7 @@
             zone="abcd"[number % 4],
             seeds=seeds,
             first=str(first).lower(),
+            counts=str(number not in self.uncounted).lower(),
             disk=f'data-dir = "{self.data_folder(number)}"' if has_disk else "",
             link_mbps=DISK_LINK_MBPS if has_disk else LINK_MBPS,
             grace=GRACE_SECONDS,
@@ -312,9 +316,11 @@
         await asyncio.sleep(0.05)
 
 
-def run_with_cluster(tmp_path, scenario, disks=3, others=1, environment=None):
+def run_with_cluster(
+    tmp_path, scenario, disks=3, others=1, environment=None, uncounted=frozenset()
+):
     async def with_cluster():
-        cluster = Cluster(tmp_path, disks, others, environment)
+        cluster = Cluster(tmp_path, disks, others, environment, uncounted)
         fleet = WorkerFleet(cluster)
         try:
             for number in range(len(cluster.ips)):
@@ -594,6 +600,21 @@
     run_with_cluster(tmp_path, scenario, disks=4, others=0)
 
 
+def test_a_machine_that_may_be_lost_beside_others_is_no_member(tmp_path):
+    # Guards against a core without a majority after the loss of machines that do not count towards
+    # the tolerated losses.
+    async def scenario(cluster, _fleet):
+        await wait_for_gauge(cluster, 3, "control_voters", 0)
+        await asyncio.sleep(3 * node.JOIN_RETRY_SECONDS)
+        for number in range(3):
+            await wait_for_gauge(cluster, number, "control_voters", 3, 1.0)
+        answer = await put_config(cluster, 3, platform_standins.make_config(4))
+        assert answer.status == 200
+        await wait_in_force(cluster, 3, 4)
+
+    run_with_cluster(tmp_path, scenario, disks=4, others=0, uncounted=(3,))
+
+
 async def begin_slow_stream(address, fleet):
     """Sends a stream of slow events to a node and returns its task once a worker runs it."""
     for worker in fleet.workers:
