Give the members of the test of odd entries a store of leaves

Since leaves are kept on the hubs' disks, a stranger's DELETE in this test ended with an AttributeError of the test's own member, which had neither store nor tasks. The checks are unchanged.

--- a/features/odd_entries_test.py
+++ b/features/odd_entries_test.py
@@ -49,6 +49,10 @@
         self.watcher = hub_watch.HubWatcher(self.view, [], name, random.Random(1))
         self.watch_by_hub = {}
         self._leave_exchange = node_leaves.LeaveExchange(self)
+        self.leave_store = unittest.mock.AsyncMock()
+        self.leave_store.store.return_value = True
+        self.forwarder = unittest.mock.MagicMock()
+        self.forwarder.spawn = asyncio.ensure_future
         self.hub = hub.Hub(
             HEARTBEAT_SECONDS,
             lambda: hub.Members(-1, []),
