List a target again that lost its address, whatever its sequence

What callers saw: a sound worker got no work for up to a minute after three foreign heartbeats: one under another id at its address, one under its id with a high sequence, one under a third id at its address again.

Cause: a target that loses its address to another one leaves a tombstone with the highest sequence seen, which was the stranger's. Reports of its own sender have lower ones, or the hub's copy of the same one, and were refused until the tombstone expired, although the target had not left.

Why this fix works: only a leave is final for a sender. For a lost address the rule for addresses decides, which lets a later start keep its place.

--- a/chiveswitch/core/target_table.py
+++ b/chiveswitch/core/target_table.py
@@ -102,6 +102,19 @@
         return is_silent
 
 
+    def may_follow(self, gone_report) -> bool:
+        """Returns whether this report may list a target again that was removed from the table.
+
+        Args:
+            gone_report: The last report of the removed target.
+        """
+        if self.supersedes(gone_report) and not self.contradicts(gone_report):
+            return True
+        # A target that lost its address to another one did not leave. Its sender, and others of its
+        # id, may go on, also with lower sequence numbers than those of a stranger.
+        return gone_report.state != GONE and self.state != GONE and not self.overdue
+
+
 class Target:
     """One target, with its load and health as seen by this gateway.
 
@@ -301,9 +314,7 @@
         target_id = report.target_id
         tombstone = self._tombstone_by_id.get(target_id)
         if tombstone is not None:
-            gone_report = tombstone[0]
-            # A target that lost its address did not leave; its id may still have another sender.
-            if not report.replaces(gone_report, gone_report.state != GONE):
+            if not report.may_follow(tombstone[0]):
                 return False
         known = self.target_by_id.get(target_id)
         if known is None:
--- a/chiveswitch/core/target_table_test.py
+++ b/chiveswitch/core/target_table_test.py
@@ -147,6 +147,24 @@
     assert table.find("t").address == "10.0.0.1:1"
 
 
+def test_a_target_that_lost_its_address_is_listed_again_with_any_sequence():
+    # Guards against a sound target that is missing for as long as tombstones are kept: a stranger
+    # used a high sequence under its id, and then its address under another id.
+    table = target_table.TargetTable()
+    table.apply_report("a", report(), 1.0)
+    table.apply_report("a", report(sequence=2**31), 2.0)
+    table.apply_report("a", report("u", sequence=5), 3.0)
+    assert ids(table) == ["u"]
+    table.apply_report("a", report(sequence=2**31, overdue=True), 4.0)
+    assert ids(table) == ["u"]
+    table.apply_report("b", report(sequence=2), 4.0)
+    assert ids(table) == ["t"]
+    # A later start at the address keeps it.
+    table.apply_report("a", report("v", born_ms=2), 5.0)
+    table.apply_report("b", report(sequence=3), 6.0)
+    assert ids(table) == ["v"]
+
+
 def add_zone(table, name, count):
     for number in range(count):
         target_id = f"{name}{number}"
