Keep the service of a target that lost its address

What callers saw: the heartbeats of a sound worker were refused with 400 after two foreign ones, one that took another worker's address under its id and one that named another service under it.

Cause: whether an announcement contradicts the known service was asked of listed targets only. A target that has just lost its address is not listed.

Why this fix works: the tombstone of a target that has not left holds its service, and the start that goes with it.

--- a/chiveswitch/core/target_table.py
+++ b/chiveswitch/core/target_table.py
@@ -494,15 +494,18 @@
         return target_id in self._tombstone_by_id
 
     def is_contradicted(self, report: Report) -> bool:
-        """Returns whether a live target with the same id and start time has another service.
+        """Returns whether a target with the same id and start time has another service.
+
+        The target is live, or has lost its address to another one without having left.
 
         Args:
             report: The announcement that may contradict those of the target.
         """
         known = self.target_by_id.get(report.target_id)
-        if known is None or known.report.overdue:
-            return False
-        return report.contradicts(known.report)
+        if known is not None:
+            return not known.report.overdue and report.contradicts(known.report)
+        tombstone = self._tombstone_by_id.get(report.target_id)
+        return tombstone is not None and report.contradicts(tombstone[0])
 
     def lists(self, report: Report) -> bool:
         """Returns whether the table holds the state of a live target as a report states it."""
--- a/chiveswitch/core/target_table_test.py
+++ b/chiveswitch/core/target_table_test.py
@@ -165,6 +165,22 @@
     assert ids(table) == ["v"]
 
 
+def test_a_target_that_lost_its_address_keeps_its_service():
+    # Guards against announcements of a sound target that are refused, because a stranger named
+    # another service under its id while another target had its address.
+    table = target_table.TargetTable()
+    table.apply_report("a", report(), 1.0)
+    table.apply_report("a", report("u", sequence=5), 2.0)
+    assert ids(table) == ["u"]
+    assert table.is_contradicted(report(sequence=9, service="other"))
+    assert not table.is_contradicted(report(sequence=9))
+    assert not table.is_contradicted(report(sequence=9, service="other", born_ms=2))
+    # The id of a target that has left may be used for another service.
+    table.apply_report("a", report("v", address="10.0.0.9:1"), 3.0)
+    table.apply_report("a", report("v", address="10.0.0.9:1", state=GONE), 4.0)
+    assert not table.is_contradicted(report("v", service="other"))
+
+
 def add_zone(table, name, count):
     for number in range(count):
         target_id = f"{name}{number}"
