Take a lost address for no leave

What callers saw: a worker's leave without a start was acknowledged and superseded nothing, so that nodes went on sending to it.

Cause: a node that does not know a worker's start acknowledges its leave only if the worker has left before. A target that lost its address to another one counted as one that had left.

Evidence: test_a_target_that_lost_its_address_has_not_left failed before.

Why this fix works: only a tombstone with the state GONE is a leave.

--- a/chiveswitch/core/target_table.py
+++ b/chiveswitch/core/target_table.py
@@ -491,7 +491,8 @@
 
     def has_left(self, target_id: str) -> bool:
         """Returns whether the target with an id has gone lately."""
-        return target_id in self._tombstone_by_id
+        tombstone = self._tombstone_by_id.get(target_id)
+        return tombstone is not None and tombstone[0].state == GONE
 
     def is_contradicted(self, report: Report) -> bool:
         """Returns whether a target with the same id and start time has another service.
--- a/chiveswitch/core/target_table_test.py
+++ b/chiveswitch/core/target_table_test.py
@@ -181,6 +181,16 @@
     assert not table.is_contradicted(report("v", service="other"))
 
 
+def test_a_target_that_lost_its_address_has_not_left():
+    # Guards against an acknowledged leave that no hub can apply, because the start is unknown.
+    table = target_table.TargetTable()
+    table.apply_report("a", report(), 1.0)
+    table.apply_report("a", report("u", sequence=5), 2.0)
+    assert ids(table) == ["u"] and not table.has_left("t")
+    table.apply_report("a", report("u", state=GONE), 3.0)
+    assert table.has_left("u")
+
+
 def add_zone(table, name, count):
     for number in range(count):
         target_id = f"{name}{number}"
