Accept large bodies for configs only

What operators of similar systems saw: faulty workers sent bytes without an end, and the machine ran out of memory. Here a body to the address of heartbeats could grow to the 4 MB of a config on each connection.

Evidence: test_a_large_body_is_accepted_for_configs_only failed before, a heartbeat of 200 KB was accepted.

Why this fix works: the limit of a body depends on what is asked for, and only configs are large. 64 KiB is far above a heartbeat with all models.

--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -343,7 +343,7 @@
             self._bytes_since_progress = 0
             self._progress_at = clock.now()
         request.body += body
-        if len(request.body) > self.server.limits().body_bytes:
+        if len(request.body) > self.server.max_body_bytes(request):
             self._refusal_status = 413
             raise ValueError("the body is too large")
 
@@ -494,15 +494,29 @@
     Attributes:
         handler: Coroutine function that serves a (`Request`, `Responder`).
         limits: Function that returns the `routing.Limits` in force.
+        max_body_bytes: Function (request head) that returns the largest size of the request's body.
         connections: Set of open connections.
         is_draining: Whether each connection is closed after its present response.
     """
 
-    __slots__ = ("handler", "limits", "connections", "is_draining", "_server", "_expiry_task")
+    __slots__ = (
+        "handler",
+        "limits",
+        "max_body_bytes",
+        "connections",
+        "is_draining",
+        "_server",
+        "_expiry_task",
+    )
 
-    def __init__(self, handler, limits=lambda: routing.DEFAULT_LIMITS):
+    def __init__(self, handler, limits=lambda: routing.DEFAULT_LIMITS, max_body_bytes=None):
+        """Creates a server that has not started; the arguments are the attributes.
+
+        Without `max_body_bytes`, the limits in force bound all bodies alike.
+        """
         self.handler = handler
         self.limits = limits
+        self.max_body_bytes = max_body_bytes or (lambda request: self.limits().body_bytes)
         self.connections = set()
         self.is_draining = False
         self._server = None
--- a/chiveswitch/platform/api.py
+++ b/chiveswitch/platform/api.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from chiveswitch.core import codes
+from chiveswitch.core import codes, routing
 from chiveswitch.platform import documents
 
 JSON_HEADERS = [("Content-Type", "application/json")]
@@ -16,6 +16,8 @@
 # The platform's operator does not log in. The node signs the operator's configs and records them in
 # the audit trail under this name.
 OPERATOR_NAME = "platform-operator"
+# Largest body of a heartbeat or leave, and of requests that need none.
+MAX_SMALL_BODY_BYTES = 64 * 1024
 
 # Keys are (HTTP method, first segment of the path).
 HANDLER_BY_ROUTE = {}
@@ -31,6 +33,12 @@
     return register
 
 
+def max_body_bytes(request) -> int:
+    """Returns the largest size of a request's body. Only the operator's configs are large."""
+    is_config = request.request_target.strip("/") == "config"
+    return routing.DEFAULT_LIMITS.body_bytes if is_config else MAX_SMALL_BODY_BYTES
+
+
 async def handle_request(node, request, responder):
     """Routes one request to its handler; an unknown method or path gets status 404."""
     segments = request.path.strip("/").split("/")
--- a/chiveswitch/platform/daemon.py
+++ b/chiveswitch/platform/daemon.py
@@ -14,12 +14,16 @@
             print(f"{int(failure.code)} {failure.code.name} {failure.message}", file=sys.stderr)
         sys.exit(node.EXIT_SETTINGS)
     settings = result.ok
-    listeners = [node.ApiListener(settings.ready_address, api.handle_request)]
+    handler_by_address = {settings.ready_address: api.handle_request}
     for address in (settings.control_address, settings.directory_address):
         if address:
-            listeners.append(node.ApiListener(address, api.handle_request))
+            handler_by_address[address] = api.handle_request
     if settings.metrics_address:
-        listeners.append(node.ApiListener(settings.metrics_address, api.handle_metrics))
+        handler_by_address[settings.metrics_address] = api.handle_metrics
+    listeners = [
+        node.ApiListener(address, handler, api.max_body_bytes)
+        for address, handler in handler_by_address.items()
+    ]
     node.run(settings, headers.Dialect(), listeners)
 
 
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -112,13 +112,15 @@
     Attributes:
         address: `ip:port`.
         handler: Coroutine function (node, request, responder).
+        max_body_bytes: Function (request) that returns the largest size of the request's body.
     """
 
-    __slots__ = ("address", "handler")
+    __slots__ = ("address", "handler", "max_body_bytes")
 
-    def __init__(self, address: str, handler):
+    def __init__(self, address: str, handler, max_body_bytes):
         self.address = address
         self.handler = handler
+        self.max_body_bytes = max_body_bytes
 
 
 class Node:
@@ -267,7 +269,9 @@
             if opened.is_error():
                 return opened.error
             for listener in self._listeners:
-                server = http_server.Server(self._api_handler(listener))
+                server = http_server.Server(
+                    self._api_handler(listener), max_body_bytes=listener.max_body_bytes
+                )
                 self._api_servers.append(server)
                 await server.start(listener.address)
             await self._caller_server.start(settings.caller_address)
--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -587,6 +587,24 @@
     run_with_cluster(tmp_path, scenario)
 
 
+def test_a_large_body_is_accepted_for_configs_only(tmp_path):
+    # Guards against a node that runs out of memory because faulty workers send heartbeats without
+    # an end, while an operator sends a large config.
+    async def scenario(cluster, fleet):
+        worker = fleet.workers[0]
+        heartbeat = worker.heartbeat("plain", "a", 1)
+        body = orjson.dumps({**orjson.loads(heartbeat), "extra": "x" * 200_000})
+        for method in ("PUT", "DELETE"):
+            answer = await platform_standins.send_request(
+                cluster.address(0, "control"), method, f"/instances/{worker.worker_id}", body=body
+            )
+            assert answer.status == 413
+        assert len(orjson.dumps(make_large_config(4, 1500))) > 200_000
+        assert (await put_config(cluster, 0, make_large_config(4, 1500))).status == 200
+
+    run_with_cluster(tmp_path, scenario)
+
+
 def test_a_member_that_has_stopped_is_removed_before_a_frozen_one(tmp_path):
     # Guards against a core that survives one loss less for ten seconds, because the successor of a
     # machine that was stopped has been a voter before that.
