Give up streams of comments or repeated events without end

What callers saw: an engine that sends comments or blank lines as fast as they are read kept its stream, and the processor, until the silence limit, and the next engine did the same.

Cause: such bytes are no progress, and nothing bounded them.

Why this fix works: 64 KiB of comments between two events, and 1 MiB of events that the caller has, end the use of the stream. Sound engines send a comment of some bytes now and then.

--- a/chiveswitch/core/events.py
+++ b/chiveswitch/core/events.py
@@ -3,6 +3,10 @@
 SEPARATOR = b"\n\n"
 # Most digits of an event id; the time to parse a number grows with the square of its length.
 MAX_ID_DIGITS = 18
+# Most bytes in a row of comments and blank lines.
+MAX_FILLER_BYTES = 64 * 1024
+# Most bytes in a row of events that the caller already has.
+MAX_REPEATED_BYTES = 1024 * 1024
 
 
 class EventBuffer:
@@ -14,18 +18,29 @@
         fault: Reason why the stream cannot be used any further, or an empty string.
     """
 
-    __slots__ = ("last_id", "fault", "_partial_event", "_max_bytes")
+    __slots__ = (
+        "last_id",
+        "fault",
+        "_partial_event",
+        "_max_bytes",
+        "_filler_bytes",
+        "_repeated_bytes",
+    )
 
     def __init__(self, last_id: int | None, max_bytes: int = 1024 * 1024):
         self.last_id = last_id
         self.fault = ""
         self._partial_event = b""
         self._max_bytes = max_bytes
+        # Bytes of comments and blank lines, and of repeated events, since the last new event.
+        self._filler_bytes = 0
+        self._repeated_bytes = 0
 
     def restart(self):
         """Discards an incomplete event and the fault, before another target's stream begins."""
         self._partial_event = b""
         self.fault = ""
+        self._filler_bytes = self._repeated_bytes = 0
 
     @property
     def is_between_events(self) -> bool:
@@ -50,18 +65,27 @@
         *blocks, self._partial_event = data.split(SEPARATOR)
         complete_events = []
         for block in blocks:
-            if is_comment(block):
+            if not block or is_comment(block):
+                self._filler_bytes += len(block) + len(SEPARATOR)
+                if self._filler_bytes > MAX_FILLER_BYTES:
+                    self.fault = f"{self._filler_bytes} bytes of comments without an event"
+                    break
                 continue
             event_id = parse_event_id(block)
             if event_id is None:
                 self.fault = "an event has no id"
                 break
             if self.last_id is not None and event_id <= self.last_id:
+                self._repeated_bytes += len(block) + len(SEPARATOR)
+                if self._repeated_bytes > MAX_REPEATED_BYTES:
+                    self.fault = f"{self._repeated_bytes} bytes of events were sent before"
+                    break
                 continue
             if self.last_id is not None and event_id != self.last_id + 1:
                 self.fault = f"event {event_id} follows event {self.last_id}"
                 break
             self.last_id = event_id
+            self._filler_bytes = self._repeated_bytes = 0
             complete_events.append(block + SEPARATOR)
         return b"".join(complete_events), len(complete_events)
 
--- a/chiveswitch/core/events_test.py
+++ b/chiveswitch/core/events_test.py
@@ -1,6 +1,7 @@
 """Tests of the event buffer: events are complete, unique and in order for any chunk boundaries."""
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from chiveswitch.core import events
@@ -54,3 +55,34 @@
     buffer = events.EventBuffer(None, max_bytes=100)
     buffer.feed(b"x" * 101)
     assert buffer.fault
+
+
+@pytest.mark.parametrize("filler", [b": a\n\n", b"\n", b": a\n: b\n\n"])
+def test_comments_and_blank_lines_without_an_event_are_bounded(filler):
+    # Guards against a stream that keeps its caller, and the processor, with bytes that are no event.
+    buffer = events.EventBuffer(None)
+    part = filler * (4096 // len(filler))
+    fed = 0
+    while not buffer.fault:
+        buffer.feed(part)
+        fed += len(part)
+        assert fed <= events.MAX_FILLER_BYTES + 2 * len(part)
+    # Between events there may be as many again.
+    buffer = events.EventBuffer(None)
+    for number in range(50):
+        buffer.feed(part + stream(number, number))
+    assert not buffer.fault and buffer.last_id == 49
+
+
+def test_events_that_are_repeated_without_end_are_bounded():
+    # Guards against a stream that sends the same events over and over.
+    buffer = events.EventBuffer(None)
+    part = stream(0, 99)
+    fed = 0
+    while not buffer.fault:
+        buffer.feed(part)
+        fed += len(part)
+        assert fed <= events.MAX_REPEATED_BYTES + 3 * len(part)
+    # An engine may send all of a response again.
+    buffer = events.EventBuffer(9_999)
+    assert buffer.feed(stream(0, 10_000)) == (stream(10_000, 10_000), 1)
