Write 100 Continue only between responses

What callers saw: with requests sent ahead, "100 Continue" within the response to an earlier request.

Cause: it was written as soon as the head had been read, unlike all other responses, which wait until the earlier requests are answered.

Evidence: test_100_continue_is_sent_between_responses and test_100_continue_is_not_sent_after_the_body failed before.

Why this fix works: the interim response has its turn after the requests before it, and is dropped when the body has come without it.

--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -232,6 +232,9 @@
         self._bytes_since_progress = 0
         self._queued_requests = []
         self._task = None
+        # Whether the present request's caller waits for an interim response before it sends the
+        # body.
+        self._is_continue_due = False
         self._refusal_status = None
         self._last_active_at = clock.now()
         self._closed = False
@@ -315,7 +318,7 @@
         self._request.value_by_header.setdefault(text.lower(), content)
 
     def on_headers_complete(self):
-        """Sets the method, checks the head's size and answers `Expect: 100-continue`.
+        """Sets the method and checks the head's size.
 
         Raises:
             ValueError: The head is too large.
@@ -327,8 +330,7 @@
         if size + len(request.request_target) > self.server.limits().header_bytes:
             self._refusal_status = 431
             raise ValueError("the head is too large")
-        if request.value_by_header.get("expect", "").lower() == "100-continue":
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._is_continue_due = request.value_by_header.get("expect", "").lower() == "100-continue"
 
     def on_body(self, body):
         """Adds a part of the body to the request.
@@ -337,6 +339,7 @@
             ValueError: The body is too large.
         """
         request = self._request
+        self._is_continue_due = False
         self._body_bytes += len(body)
         self._bytes_since_progress += len(body)
         if self._bytes_since_progress >= MIN_BODY_PROGRESS_BYTES:
@@ -349,6 +352,7 @@
 
     def on_message_complete(self):
         """Queues the request."""
+        self._is_continue_due = False
         self._queued_requests.append(self._request)
         self._request = None
         self._header_bytes = 0
@@ -365,6 +369,11 @@
             return
         if self._refusal_status is not None:
             Responder(self, False).send(self._refusal_status, [])
+            return
+        if self._is_continue_due:
+            self._is_continue_due = False
+            self._progress_at = clock.now()
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     async def _serve(self, request):
         responder = Responder(self, request.keep_alive)
--- a/chiveswitch/forwarding/http_server_test.py
+++ b/chiveswitch/forwarding/http_server_test.py
@@ -72,6 +72,40 @@
     return results
 
 
+def test_100_continue_is_sent_between_responses():
+    # Guards against a response that is spoiled by the interim response to the next request, which
+    # the caller has sent ahead.
+    body = b"z" * 50
+
+    async def scenario(_echo, address):
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+        writer.write(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+        writer.write(b"POST /next HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n")
+        writer.write(b"Content-Length: 50\r\n\r\n")
+        for _ in range(2):
+            assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 200")
+            await reader.readuntil(b"\r\n\r\n/slow|")
+        # The time in which the caller waited for this does not count as slow sending.
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        await asyncio.sleep(LIMITS.header_timeout_s / 2)
+        writer.write(body)
+        assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 200")
+        await reader.readuntil(b"\r\n\r\n/next|" + body)
+        writer.transport.abort()
+
+    run(scenario)
+
+
+def test_100_continue_is_not_sent_after_the_body():
+    # Guards against an interim response that nobody waits for any more.
+    data = b"POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+    data += b"POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\nz"
+    received, _ = exchange(data + b"GET /c HTTP/1.1\r\nConnection: close\r\n\r\n")
+    assert received.count(b"HTTP/1.1 200") == 3 and b" 100 " not in received
+
+
 @pytest.mark.parametrize(
     "data, status",
     [
