Soak with workers that ask for pauses and say that they leave

The soak had no workers that refuse with Retry-After, or that say in their responses that they leave. Both are faults of it now, with the bounds that the users state. Connections that are disturbed at the time don't count.

--- a/features/soak.py
+++ b/features/soak.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 import pathlib
 import random
 import shutil
@@ -46,6 +47,11 @@
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_ADDITION = 5
+# Pause in seconds that workers ask for, time from a refusal until the pause holds, and number of
+# requests that a worker may get in a pause from one node, as the users state them.
+ASKED_PAUSE_SECONDS = 3.0
+PAUSE_GRACE_SECONDS = 0.5
+PAUSE_REQUESTS = 2
 # Duration of a worker's call in seconds, number of kept connections to each node, and deadline of
 # the calls on them in milliseconds.
 CALL_SECONDS = 0.1
@@ -132,6 +138,10 @@
         reads: (time of the request, version) of each answered read.
         leaves: (time, worker id) of each acknowledged leave.
         limits: (worker, rate, start, end) of each time for which a worker named a limit.
+        pauses: (worker, start, end) of each time for which a worker refused requests and asked for
+            a pause.
+        leaving_since: (worker, time) since which a worker says in its responses that it leaves.
+        worker_disturbances: (worker, start, end) of each disturbance of a worker's connections.
         disturbances: (node, start, end) of each time for which a node was down or catching up.
         stops: (node, time of the signal, time of the end) of each planned stop.
         kept_callers: (node, `node_stop_test.Caller`) of each caller that uses one node without a
@@ -147,6 +157,9 @@
         self.reads = []
         self.leaves = []
         self.limits = []
+        self.pauses = []
+        self.leaving_since = []
+        self.worker_disturbances = []
         self.disturbances = []
         self.stops = []
         self.kept_callers = []
@@ -188,6 +201,10 @@
                     break
         for limit in self.limits:
             self._find_exceeded_limit(*limit)
+        for pause in self.pauses:
+            self._find_ignored_pause(*pause)
+        for worker, since in self.leaving_since:
+            self._find_work_for_leaving(worker, since)
         for asked_at, version in self.reads:
             due = [
                 v
@@ -225,6 +242,54 @@
                         f"stop signal of node {node}"
                     )
 
+    def _undisturbed_arrivals(self, worker, since, until):
+        """Returns the (time, request id) of arrivals at a worker, by node.
+
+        Nodes and connections that were disturbed in the meantime do not count.
+        """
+        if any(
+            each is worker and start < until and end > since
+            for each, start, end in self.worker_disturbances
+        ):
+            return {}
+        disturbed = {
+            node for node, start, end in self.disturbances if start < until and end > since
+        }
+        arrivals_by_node = {}
+        for at, request_id in worker.arrivals:
+            node = self.node_by_request.get(request_id)
+            if since <= at < until and node is not None and node not in disturbed:
+                arrivals_by_node.setdefault(node, []).append((at, request_id))
+        return arrivals_by_node
+
+    def _find_ignored_pause(self, worker, since, until):
+        """Adds a violation if a node sent requests to a worker that had asked it for a pause."""
+        refused_ids = set(worker.rejected_request_ids)
+        for node, arrivals in self._undisturbed_arrivals(worker, since, until).items():
+            for refused_at, request_id in arrivals:
+                if request_id not in refused_ids:
+                    continue
+                begin = refused_at + PAUSE_GRACE_SECONDS + TOLERANCE_SECONDS
+                end = refused_at + ASKED_PAUSE_SECONDS
+                count = sum(begin < at < end for at, _ in arrivals)
+                if count > PAUSE_REQUESTS:
+                    self.violations.append(
+                        f"node {node} sent {count} requests to {worker.worker_id} in a pause"
+                    )
+                    return
+
+    def _find_work_for_leaving(self, worker, since):
+        """Adds a violation if a node sent work to a worker from which it knew that it leaves."""
+        for node, arrivals in self._undisturbed_arrivals(worker, since, math.inf).items():
+            first_at = arrivals[0][0] + CALL_SECONDS
+            late_after = first_at + DRAIN_LIMIT_SECONDS + 2 * TOLERANCE_SECONDS
+            late = [at for at, _ in arrivals if at > late_after]
+            if late:
+                self.violations.append(
+                    f"node {node} sent work to {worker.worker_id} {late[0] - first_at:.1f} s after "
+                    f"a response that it leaves"
+                )
+
     def _find_exceeded_limit(self, worker, rate, since, until):
         """Adds a violation if a worker got more requests in a window than its limit permits.
 
@@ -520,7 +585,10 @@
 
     async def disturb_worker_connections(self):
         """Disturbs the connections from nodes to a worker."""
-        await self._disturb_proxy(self._proxy_by_worker[self._rng.choice(self._fleet.workers)])
+        worker = self._rng.choice(self._fleet.workers)
+        started = clock.now()
+        await self._disturb_proxy(self._proxy_by_worker[worker])
+        self.record.worker_disturbances.append((worker, started, clock.now()))
 
     async def disturb_caller_connections(self):
         """Disturbs the connections from callers to a node."""
@@ -566,6 +634,26 @@
             self.record.limits.append((worker, rate, started, clock.now()))
             worker.named_limit = None
 
+    async def pause_worker(self):
+        """Makes a worker refuse requests and ask for a pause, for longer than the pause."""
+        worker = self._rng.choice(self._fleet.workers)
+        if worker.behaviour != "answer" or worker.retry_after_values:
+            return
+        worker.behaviour = "shed"
+        worker.retry_after_values = [str(ASKED_PAUSE_SECONDS)]
+        started = clock.now()
+        await asyncio.sleep(self._rng.uniform(1.0, 2.0) * ASKED_PAUSE_SECONDS)
+        worker.behaviour = "answer"
+        worker.retry_after_values = []
+        self.record.pauses.append((worker, started, clock.now() + ASKED_PAUSE_SECONDS))
+
+    async def announce_leaving_in_responses(self):
+        """Makes one engine say in its responses that it leaves, while it announces to be ready."""
+        engine = next(w for w in self._fleet.workers if w.worker_id.startswith("e"))
+        if not engine.leaving_values:
+            engine.leaving_values = ["1"]
+            self.record.leaving_since.append((engine, clock.now()))
+
     async def leave_worker(self):
         """Makes one worker of the plain service leave, if it has not left yet. Two others stay."""
         plain = [w for w in self._fleet.workers if w.worker_id.startswith("w")]
@@ -602,6 +690,8 @@
     "limit": Soak.limit_workers,
     "lose_disk": Soak.lose_disk,
     "pause": Soak.pause,
+    "pause_worker": Soak.pause_worker,
+    "say_leaving": Soak.announce_leaving_in_responses,
     "shift_clock": Soak.shift_clock,
     "spoil_worker": Soak.fail_requests,
     "stop": Soak.stop_node,
