--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -422,6 +422,8 @@
         gauges["bundle_version"] = lambda: self.view.published.version
         gauges["targets"] = lambda: len(self.table.target_by_id)
         gauges["channels_opened"] = lambda: self.forwarder.pool.opened_count
+        budget = self.forwarder.pool.pacer.budget
+        gauges["response_bytes_held"] = lambda: budget.held_bytes
         gauges["requests_open"] = self._caller_server.busy_count
         for state in http_server.CONNECTION_STATES:
             gauges[f"connections_{state}"] = functools.partial(self._count_connections, state)
