Count what hubs store after a leave was answered with 503

What callers saw: beside slow hubs a worker that leaves got no acknowledgement, however often it repeated its leave.

Cause: an answer of a hub after 0.2 s was dropped, so that each repetition began anew.

Evidence: test_a_leave_that_is_stored_late_is_acknowledged_when_it_is_repeated failed before.

Why this fix works: the worker is still answered after 0.2 s, but the hub goes on counting for a second, and acknowledges the repetition at once.

--- a/chiveswitch/tools/node_leaves.py
+++ b/chiveswitch/tools/node_leaves.py
@@ -15,6 +15,9 @@
 # Longest time in seconds to wait until other hubs have stored a leave. It is shorter than the time
 # for which a node waits for a hub's acknowledgement (`node.HUB_ACK_TIMEOUT_SECONDS`).
 CONFIRM_TIMEOUT_SECONDS = 0.2
+# Longest time in seconds for which a hub's answer is of use: a worker that got no acknowledgement
+# repeats its leave, and is answered at once if the hubs have stored it meanwhile.
+STORE_TIMEOUT_SECONDS = 1.0
 # Leaves that a node passes to a hub that has started; further ones are left to other nodes.
 MAX_RESTORED_LEAVES = 2000
 
@@ -62,21 +65,31 @@
             for state in states
             if state is not None
         ]
+        counting = node.forwarder.spawn(self._count_stored(report, tasks, needed))
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_SECONDS):
+                return await asyncio.shield(counting)
+        except TimeoutError:
+            node.log.line("hub", "leave_unconfirmed", target=report.target_id, needed=needed)
+            return False
+
+    async def _count_stored(self, report, tasks, needed) -> bool:
+        """Waits until enough tasks have stored a leave; returns whether they have."""
         stored_count = 0
         for next_task in asyncio.as_completed(tasks):
             stored_count += await next_task
             if stored_count >= needed:
-                node.hub.confirm_leave(report)
+                self._node.hub.confirm_leave(report)
                 return True
-        node.log.line(
-            "hub", "leave_unconfirmed", target=report.target_id, stored=stored_count, needed=needed
+        self._node.log.line(
+            "hub", "leave_not_stored", target=report.target_id, stored=stored_count, needed=needed
         )
         return False
 
     async def _store_here(self) -> bool:
         """Stores the leaves of the own hub; returns False if that takes too long."""
         try:
-            async with asyncio.timeout(CONFIRM_TIMEOUT_SECONDS):
+            async with asyncio.timeout(STORE_TIMEOUT_SECONDS):
                 return await self._node.leave_store.store()
         except TimeoutError:
             return False
@@ -84,12 +97,12 @@
     async def _store(self, state, report) -> bool:
         """Sends a leave to a hub and returns whether the hub has stored it."""
         payload = strict.encode(hub_thrift.TargetReports(reports=[report]))
-        result = await state.link.call(kinds.Kind.HUB_LEAVES, payload, CONFIRM_TIMEOUT_SECONDS)
+        result = await state.link.call(kinds.Kind.HUB_LEAVES, payload, STORE_TIMEOUT_SECONDS)
         if result.is_ok() or result.error.code != codes.Code.FRAME_INVALID:
             return result.is_ok()
         # A hub of an earlier version takes it as the announcement of a target.
         payload = strict.encode(hub_thrift.Report(target=report))
-        result = await state.link.call(kinds.Kind.HUB_REPORT, payload, CONFIRM_TIMEOUT_SECONDS)
+        result = await state.link.call(kinds.Kind.HUB_REPORT, payload, STORE_TIMEOUT_SECONDS)
         if result.is_ok():
             result = strict.decode(hub_thrift.ReportAnswer, result.ok)
         return result.is_ok() and result.ok.accepted
--- a/chiveswitch/tools/node_leaves_test.py
+++ b/chiveswitch/tools/node_leaves_test.py
@@ -217,6 +217,23 @@
     run_with_hubs(3, scenario)
 
 
+def test_a_leave_that_is_stored_late_is_acknowledged_when_it_is_repeated():
+    # Guards against a worker that gets no acknowledgement at all from hubs that are slow.
+    async def scenario(hubs):
+        for each in hubs[1:]:
+            each.delay_s = 0.3
+        assert not await hubs[0].leave(target("t", state=DRAINING))
+        await platform_standins.wait_until(
+            lambda: hubs[0].hub.is_leave_confirmed(target("t", state=DRAINING))
+        )
+        started = clock.now()
+        assert await hubs[0].leave(target("t", sequence=2, state=DRAINING))
+        assert clock.now() - started < 0.05
+        assert len(hubs[1].received) == 1
+
+    run_with_hubs(3, scenario)
+
+
 def test_a_core_of_few_machines_acknowledges_what_all_of_it_has_stored():
     async def scenario(hubs):
         assert await hubs[0].leave(target("t", state=GONE))
