Give up a generation after four engines that it may have crashed

What callers and operators saw: in the product's own interface one prompt that crashes engines ended up to nine of them, one after the other.

Cause: engines that are lost before they send a token counted like any failed attempt, of which eight in a row are permitted.

Why this fix works: losses before the first token of an attempt are counted by themselves and end the request after the fourth in a row. A token starts the count anew, so that a long generation survives as many losses as before.

--- a/chiveswitch/core/generation.py
+++ b/chiveswitch/core/generation.py
@@ -62,6 +62,8 @@
         journal_wait_s: Maximum wait for a commit, in seconds.
         keep_answer_s: Seconds for which a complete response is kept.
         max_failed_attempts: Number of consecutive attempts that may fail without a new token.
+        max_lost_engines: Number of engines in a row that may be lost before they send a token. A
+            prompt that crashes engines thus ends no more of them.
         max_prefix_refusals: Number of engines that may refuse the prefix before a new generation
             begins. With 0 no attempt continues from a prefix, which is a baseline for comparison.
         max_restarts: Number of new generations that may begin after the first.
@@ -78,6 +80,7 @@
         "journal_wait_s",
         "keep_answer_s",
         "max_failed_attempts",
+        "max_lost_engines",
         "max_prefix_refusals",
         "max_restarts",
     )
@@ -94,6 +97,7 @@
         journal_wait_s: float = 10.0,
         keep_answer_s: float = 60.0,
         max_failed_attempts: int = 8,
+        max_lost_engines: int = 3,
         max_prefix_refusals: int = 3,
         max_restarts: int = 3,
     ):
@@ -107,6 +111,7 @@
         self.journal_wait_s = journal_wait_s
         self.keep_answer_s = keep_answer_s
         self.max_failed_attempts = max_failed_attempts
+        self.max_lost_engines = max_lost_engines
         self.max_prefix_refusals = max_prefix_refusals
         self.max_restarts = max_restarts
 
@@ -348,6 +353,7 @@
         "_waiting_since",
         "_excluded_targets",
         "_failed_attempts",
+        "_lost_engines",
         "_prefix_refusals",
         "_restart_count",
         "_may_have_run",
@@ -407,6 +413,7 @@
         self._waiting_since = None
         self._excluded_targets = set()
         self._failed_attempts = 0
+        self._lost_engines = 0
         self._prefix_refusals = 0
         self._restart_count = 0
         self._may_have_run = False
@@ -701,6 +708,7 @@
         self._mark_running()
         attempt._reattachments = 0
         self._failed_attempts = 0
+        self._lost_engines = 0
         self._prefix_refusals = 0
         self._waiting_since = None
         self._excluded_targets.clear()
@@ -810,6 +818,10 @@
         if self._failed_attempts > self.header.settings.max_failed_attempts:
             self._fail_without_target(now, "too many attempts in a row failed without a new token")
             return
+        if self._lost_engines > self.header.settings.max_lost_engines:
+            message = f"{self._lost_engines} engines in a row were lost before they sent a token"
+            self._fail_without_target(now, message)
+            return
         self._choose_target(now)
 
     def _fail_without_target(self, now, message):
@@ -1111,6 +1123,8 @@
                 return
             if is_attempt_absent:
                 self._refund_repeated_work(current, event.kind)
+            elif event.kind is kinds.CONNECTION_REFUSED:
+                self._count_lost_engine(current)
             self._move_to_next_attempt(now, cancel=not is_attempt_absent)
             return
         if hedge is not None and event.attempt == hedge.number:
@@ -1150,9 +1164,14 @@
             self._drop_hedge(now, cancel=False)
         if self._current is not None and self._current.target == target:
             self._may_have_run = True
+            self._count_lost_engine(self._current)
             self._move_to_next_attempt(now, cancel=False)
         self._exclude_target(target, now)
 
+    def _count_lost_engine(self, attempt):
+        if not attempt.is_steady:
+            self._lost_engines += 1
+
     def _on_target_leaving(self, event, now):
         # Running attempts finish on a leaving target, so only new ones avoid it.
         self._exclude_target(event.target, now)
--- a/chiveswitch/core/generation_test.py
+++ b/chiveswitch/core/generation_test.py
@@ -200,7 +200,8 @@
         assert self.seeds.setdefault(action.generation, action.seed) == action.seed
         assert len(set(self.seeds.values())) == len(self.seeds)
         fault = self.faults.pop(0) if self.faults else None
-        fault_at = len(action.prefix) + self.rng.randrange(0, 14)
+        # A crash is caused by the prompt, and comes before the first token.
+        fault_at = 0 if fault == "crash" else len(action.prefix) + self.rng.randrange(0, 14)
         attempt = EngineAttempt(action, fault, fault_at)
         self.attempts[action.attempt] = attempt
         kinds = messages.FailureKind
@@ -303,13 +304,13 @@
         attempt.fault = None
         tokens_so_far = attempt.tokens
         connection = attempt.connection[0] if attempt.connection else 0
-        if fault in ("die", "die_silently"):
+        if fault in ("die", "die_silently", "crash"):
             for other in self.attempts.values():
                 other.lost = other.lost or other.target == target
             self.dead.add(target)
             self.at(2.5, self.expire_lease, target)
             self.at(3.0, self.dead.discard, target)
-            if fault == "die":
+            if fault != "die_silently":
                 self.fail(number, connection, messages.FailureKind.CLOSED, machine)
             return True
         if fault == "pause":
@@ -408,6 +409,7 @@
 def simulate(seed, faults, resume, streamed, takeovers=(), gaps=()):
     before = lifecycles.UNEXPECTED_COUNT_BY_TRANSITION.total()
     extra = {"keep_answer_s": 20.0, "max_failed_attempts": 20, "max_restarts": 9}
+    extra["max_lost_engines"] = 20
     simulation = Simulation(random.Random(seed), faults, resume, streamed, **extra)
     simulation.unexpected_count_before = before
     for time in takeovers:
@@ -535,6 +537,18 @@
     assert denied.outcomes == [codes.Code.RETRY_BUDGET_SPENT]
 
 
+def test_a_prompt_that_crashes_engines_ends_few_of_them():
+    # Guards against one request that crashes engine after engine before any of them has sent a
+    # token of it.
+    for resume in ("latency", "resources"):
+        simulation = Simulation(random.Random(7), ["crash"] * 20, resume).run(60.0)
+        assert simulation.outcomes == [codes.Code.TARGET_FAILED]
+        assert len(simulation.attempts) <= 4
+    # Losses in the middle of the response do not add up.
+    simulation = Simulation(random.Random(8), ["die"] * 6, "resources").run(60.0)
+    assert simulation.outcomes == [codes.Code.OK] and len(simulation.attempts) > 5
+
+
 def test_hedge_starts_only_within_the_extra_work_limit():
     """Guards against hedges beyond extra_work_percent.
 
