--- a/chiveswitch/forwarding/returning_streams_test.py
+++ b/chiveswitch/forwarding/returning_streams_test.py
@@ -69,6 +69,12 @@
         self._writer.transport.abort()
 
 
+async def start_equal_streams(fixture, other):
+    """Starts equal streams `r1` at the first gateway and `r2` at the other; returns the callers."""
+    first = await ReadingCaller().start(fixture.address, "r1")
+    return [first, await ReadingCaller().start(other.address, "r2")]
+
+
 def sources(workers):
     """Returns the copy from which each request went on at some workers, by request id."""
     source_by_id = {}
@@ -152,9 +158,7 @@
 def test_of_two_abandoned_runs_of_equal_requests_none_is_adopted(tmp_path):
     # Guards against a response of pieces of two runs: nothing tells which run a caller has read.
     async def scenario(fixture, other):
-        callers = [ReadingCaller(), ReadingCaller()]
-        await callers[0].start(fixture.address, "r1")
-        await callers[1].start(other.address, "r2")
+        callers = await start_equal_streams(fixture, other)
         await callers[0].leave(fixture, "r1")
         await callers[1].leave(other, "r2")
         answer = await forwarder_test.stream(other, "r3", **{"Last-Event-Id": "4"})
@@ -170,9 +174,7 @@
     let_no_engine_hold_a_copy_of(monkeypatch, "r1")
 
     async def scenario(fixture, other):
-        callers = [ReadingCaller(), ReadingCaller()]
-        await callers[0].start(fixture.address, "r1")
-        await callers[1].start(other.address, "r2")
+        callers = await start_equal_streams(fixture, other)
         await callers[0].leave(fixture, "r1")
         await callers[1].leave(other, "r2")
         await forwarder_test.stream(other, "r3", **{"Last-Event-Id": "4"})
@@ -184,9 +186,7 @@
 def test_a_run_whose_copy_has_expired_may_be_the_one_that_a_caller_has_read(tmp_path):
     # Guards against a response of pieces of two runs after a caller returned late.
     async def scenario(fixture, other):
-        callers = [ReadingCaller(), ReadingCaller()]
-        await callers[0].start(fixture.address, "r1")
-        await callers[1].start(other.address, "r2")
+        callers = await start_equal_streams(fixture, other)
         await callers[0].leave(fixture, "r1")
         await callers[1].leave(other, "r2")
         other.gateway.run_table.run_by_id["r1"].changed_at -= 20.0
@@ -200,9 +200,7 @@
     # Guards against a response of pieces of two runs: the caller has left a gateway that is frozen
     # or cut off, and the run of an equal request is abandoned as well.
     async def scenario(fixture, other):
-        callers = [ReadingCaller(), ReadingCaller()]
-        await callers[0].start(fixture.address, "r1")
-        await callers[1].start(other.address, "r2")
+        callers = await start_equal_streams(fixture, other)
         await callers[1].leave(other, "r2")
         other.gateway.fetch_run_status = fetch_no_status
         await forwarder_test.stream(other, "r3", **{"Last-Event-Id": "4"})
