Log what members without a leader know of each other

A member that has known no leader for 2 s now logs its role, the last entry of its log, the age of its oldest write, and for each other member the age of its last message and the state of the connection to it. A voter logs why it refuses a vote, once for each reason. A link logs the end of a connection with the age of its last data.

--- a/chiveswitch/core/consensus.py
+++ b/chiveswitch/core/consensus.py
@@ -129,6 +129,8 @@
 # loss of any message.
 _MAX_HELD_MESSAGES = 1024
 
+_LEADER_IS_LIVE = "the leader is in touch"
+
 _RESPONSES = (
     messages.PreVoteResponse,
     messages.VoteResponse,
@@ -150,6 +152,7 @@
         applied_index: Highest index in an `Apply` or `Restore` action so far.
         stopping_addresses: Addresses of members whose processes have announced their stop; set from
             outside.
+        received_at_by_id: Time of the last message of each other member, in seconds.
     """
 
     __slots__ = (
@@ -161,6 +164,7 @@
         "commit_index",
         "applied_index",
         "stopping_addresses",
+        "received_at_by_id",
         "_settings",
         "_random",
         "_now",
@@ -172,6 +176,7 @@
         "_resend_at",
         "_leader_contact_at",
         "_last_leader_id",
+        "_refusal_by_candidate",
         "_actions",
         "_outbox",
         "_held_messages",
@@ -214,6 +219,7 @@
         self.commit_index = stored.snapshot.index
         self.applied_index = stored.snapshot.index
         self.stopping_addresses = frozenset()
+        self.received_at_by_id = {}
         self._settings = settings
         self._random = random_source
         self._now = now
@@ -223,6 +229,7 @@
         self._pre_vote_round = 0
         self._leader_contact_at = -math.inf
         self._last_leader_id = None
+        self._refusal_by_candidate = {}
         self._actions = []
         self._outbox = []
         self._held_messages = []
@@ -284,6 +291,10 @@
         """Returns the seconds since the leader's last message; 0 on a leader with a majority."""
         return 0.0 if self._leadership is not None else now - self._leader_contact_at
 
+    def pending_write_age(self, now: float) -> float:
+        """Returns the seconds for which the oldest write has not been durable; 0 without one."""
+        return now - self._pending_writes[0][1] if self._pending_writes else 0.0
+
     # Election timer and role changes.
 
     def _arm_election_timer(self) -> None:
@@ -413,13 +424,17 @@
     def _on_received(self, event: messages.Received) -> None:
         message = event.message
         message_class = type(message)
-        if message_class in _RESPONSES and event.sender not in self.log.configuration().members():
+        is_member = event.sender in self.log.configuration().members()
+        if is_member:
+            self.received_at_by_id[event.sender] = self._now
+        if message_class in _RESPONSES and not is_member:
             return
         if message_class is messages.PreVoteRequest:
             self._on_pre_vote_request(event.sender, message)
             return
         # A node that has lost contact to a live leader must not depose it with a higher term.
         if message_class is messages.VoteRequest and self._has_live_leader(event.sender):
+            self._report_refusal(event.sender, message.term, _LEADER_IS_LIVE)
             return
         if message.term > self.term:
             self._become_follower(message.term, None)
@@ -435,18 +450,32 @@
         """Returns whether a candidate's log is less up to date than this node's log."""
         return (last_term, last_index) < (self.log.last_term(), self.log.last_index())
 
-    def _may_vote(self) -> bool:
+    def _refusal_reason(self, request: messages.Record) -> str | None:
+        """Returns why no candidate with this log gets a vote or pre-vote of this node, or None."""
         # A learner may vote too: a newer configuration, which has not arrived here, may have made
         # it a voter. Candidates count only the votes of voters in their own configuration.
-        return self.node_id in self.log.configuration().members()
+        if self.node_id not in self.log.configuration().members():
+            return "this node is no member"
+        if self._log_is_behind(request.last_index, request.last_term):
+            return "its log is behind"
+        return None
+
+    def _report_refusal(self, candidate: str, term: int, reason: str | None) -> None:
+        """Reports a refused vote, once for each reason until a vote is granted."""
+        if reason == self._refusal_by_candidate.get(candidate):
+            return
+        self._refusal_by_candidate[candidate] = reason
+        if reason is not None:
+            self._actions.append(messages.VoteRefused(candidate, term, reason))
 
     def _on_pre_vote_request(self, sender: str, request: messages.PreVoteRequest) -> None:
-        granted = (
-            self._may_vote()
-            and request.term > self.term
-            and not self._has_live_leader(sender)
-            and not self._log_is_behind(request.last_index, request.last_term)
-        )
+        reason = self._refusal_reason(request)
+        if request.term <= self.term:
+            reason = reason or "its term has passed"
+        if self._has_live_leader(sender):
+            reason = reason or _LEADER_IS_LIVE
+        self._report_refusal(sender, request.term, reason)
+        granted = reason is None
         self._queue_message(sender, messages.PreVoteResponse(self.term, request.round, granted))
 
     def _on_pre_vote_response(self, sender: str, response: messages.PreVoteResponse) -> None:
@@ -456,12 +485,13 @@
             self._votes.add(sender)
 
     def _on_vote_request(self, sender: str, request: messages.VoteRequest) -> None:
-        granted = (
-            self._may_vote()
-            and request.term == self.term
-            and self._vote in (None, sender)
-            and not self._log_is_behind(request.last_index, request.last_term)
-        )
+        reason = self._refusal_reason(request)
+        if request.term != self.term:
+            reason = reason or "its term has passed"
+        if self._vote not in (None, sender):
+            reason = reason or "another candidate has the vote"
+        self._report_refusal(sender, request.term, reason)
+        granted = reason is None
         if granted:
             if self._vote is None:
                 self._set_hard_state(self.term, sender)
@@ -479,6 +509,7 @@
             self._become_follower(self.term, sender)
         self._leader_contact_at = self._now
         self._last_leader_id = sender
+        self._refusal_by_candidate.clear()
         self._arm_election_timer()
 
     def _on_append_request(self, sender: str, request: messages.AppendRequest) -> None:
@@ -855,6 +886,12 @@
         index = self.log.configuration_index()
         if index != self._reported_configuration:
             self._reported_configuration = index
+            members = self.log.configuration().members()
+            self.received_at_by_id = {
+                member_id: at
+                for member_id, at in self.received_at_by_id.items()
+                if member_id in members
+            }
             self._actions.append(messages.ConfigurationChanged(index, self.log.configuration()))
         entries_since_snapshot = self.applied_index - self.log.snapshot.index
         is_due = (
--- a/chiveswitch/core/consensus_messages.py
+++ b/chiveswitch/core/consensus_messages.py
@@ -559,3 +559,20 @@
     def __init__(self, change, members: list):
         self.change = change
         self.members = members
+
+
+class VoteRefused(Record):
+    """The node refuses a vote or pre-vote for a reason that differs from its last one.
+
+    Attributes:
+        candidate: Id of the candidate.
+        term: Term for which it asked.
+        reason: Why, for the log.
+    """
+
+    __slots__ = ("candidate", "term", "reason")
+
+    def __init__(self, candidate: str, term: int, reason: str):
+        self.candidate = candidate
+        self.term = term
+        self.reason = reason
--- a/chiveswitch/core/consensus_test.py
+++ b/chiveswitch/core/consensus_test.py
@@ -628,6 +628,27 @@
     assert world.host_by_name[leader].node.term == term
 
 
+def test_a_refused_vote_is_reported_once_for_each_reason():
+    # Guards against logs that do not tell why a candidate gets no votes, and against a line for
+    # each of its requests.
+    world = World(3)
+    leader = world.wait_for_leader()
+    world.run(1)
+    voter, candidate = [name for name in world.host_by_name if name != leader][:2]
+    node = world.host_by_name[voter].node
+    last_index, last_term = node.log.last_index(), node.log.last_term()
+
+    def refusals(term, last_index):
+        request = messages.PreVoteRequest(term, 1, last_index, last_term)
+        actions = node.handle(messages.Received(candidate, request), world.now)
+        return [each.reason for each in actions if isinstance(each, messages.VoteRefused)]
+
+    assert refusals(node.term + 1, last_index) == ["the leader is in touch"]
+    assert refusals(node.term + 1, last_index) == []
+    assert refusals(node.term + 1, last_index - 1) == ["its log is behind"]
+    assert refusals(node.term, last_index) == ["its term has passed"]
+
+
 def test_new_leader_serves_reads_only_after_its_no_op():
     # Guards against stale reads: the commit index of a new leader may be below its predecessor's
     # until its first entry, the no-op, is committed.
--- a/chiveswitch/peers/control_server.py
+++ b/chiveswitch/peers/control_server.py
@@ -8,6 +8,7 @@
 import asyncio
 import concurrent.futures
 import logging
+import math
 import random
 import time
 
@@ -36,6 +37,10 @@
 # Heartbeats that arrive within this time share one confirmation round with the majority. With one
 # round for each heartbeat, 100 gateways used 28 % of a core of the leader.
 HEARTBEAT_BATCH_SECONDS = 0.05
+# Time without a leader after which a member logs what it knows of the others, and the interval of
+# the following lines. An election takes less.
+LEADERLESS_REPORT_SECONDS = 2.0
+LEADERLESS_POLL_SECONDS = 0.5
 
 
 class ControlServer:
@@ -133,7 +138,7 @@
         """
         host, _, port = self.address.rpartition(":")
         await self._server.start(host, int(port))
-        for each in (self._main(), self._write_queued()):
+        for each in (self._main(), self._write_queued(), self._report_missing_leader()):
             self._spawn(each)
 
     async def close(self):
@@ -355,6 +360,53 @@
         if result.is_error():
             log.warning("control: the first operators were refused: %s", result.error.message)
 
+    def _log_vote_refused(self, action):
+        log.info(
+            "control: refused a vote to %s in term %s: %s",
+            action.candidate,
+            action.term,
+            action.reason,
+        )
+
+    async def _report_missing_leader(self):
+        """Logs the state of this member and of its connections while it knows no leader."""
+        report_at = math.inf
+        while True:
+            await asyncio.sleep(LEADERLESS_POLL_SECONDS)
+            now = self._now()
+            if self.node.leader_id is not None:
+                report_at = math.inf
+                continue
+            if now >= report_at:
+                log.warning("control: %s", self._describe_missing_leader(now))
+                report_at = math.inf
+            report_at = min(report_at, now + LEADERLESS_REPORT_SECONDS)
+
+    def _describe_missing_leader(self, now):
+        node = self.node
+        parts = [
+            f"no leader known, {node.role.value} in term {node.term}, last entry "
+            f"{node.log.last_index()} of term {node.log.last_term()}, "
+            f"oldest write {node.pending_write_age(now):.2f} s old"
+        ]
+        for member_id, address in node.log.configuration().members().items():
+            if member_id == node.node_id:
+                continue
+            received_at = node.received_at_by_id.get(member_id, -math.inf)
+            parts.append(
+                f"{member_id} at {address}: last message {now - received_at:.2f} s ago, "
+                f"{self._describe_link(address, now)}"
+            )
+        return "; ".join(parts)
+
+    def _describe_link(self, address, now):
+        link = self._link_by_address.get(address)
+        if link is None:
+            return "never connected to"
+        if not link.connected:
+            return "not connected to"
+        return f"last data of the connection to it {now - link.last_data_at:.2f} s ago"
+
     # Membership.
 
     def _log_members_decided(self, action):
@@ -633,4 +685,5 @@
     messages.RoleChanged: ControlServer._role_changed,
     messages.ConfigurationChanged: ControlServer._configuration_changed,
     messages.MembersDecided: ControlServer._log_members_decided,
+    messages.VoteRefused: ControlServer._log_vote_refused,
 }
--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -326,11 +326,12 @@
                 continue
             self._connected = True
             self._abort_requested = False
-            self.last_data_at = self._now()
+            self.last_data_at = connected_at = self._now()
             self.is_receiving = False
             receiver = asyncio.ensure_future(self._receive_replies(reader))
             try:
                 await self._send_queued(writer, receiver)
+                self._log_loss(connected_at)
             finally:
                 self._connected = self.is_receiving = False
                 receiver.cancel()
@@ -343,6 +344,16 @@
                     codes.Code.LINK_CLOSED, f"lost the connection to {self.address}"
                 )
 
+    def _log_loss(self, connected_at):
+        now = self._now()
+        log.info(
+            "peers: the connection to %s ended after %.2f s, last data %.2f s ago, %s open calls",
+            self.address,
+            now - connected_at,
+            now - self.last_data_at,
+            len(self._future_by_request_id),
+        )
+
     async def _send_queued(self, writer, receiver):
         while not receiver.done() and not self._abort_requested:
             if self._outbox:
--- a/features/soak.py
+++ b/features/soak.py
@@ -21,7 +21,7 @@
 
 from chiveswitch.core import clock
 from chiveswitch.tools import node_stop_test, node_test, processes
-from features import platform_standins
+from features import platform_standins, proxies
 
 DISK_NODES = 3
 DISKLESS_NODES = 2
@@ -71,63 +71,6 @@
 TOLERANCE_SECONDS = 0.5
 
 
-class Proxy:
-    """A TCP proxy before a worker or a node that disturbs connections on demand.
-
-    Attributes:
-        address: Address on which it listens in place of the target.
-        delay: Seconds by which each chunk is delayed.
-        silent: Whether data is dropped in both directions.
-        blocks_responses: Whether data from the target is dropped.
-    """
-
-    def __init__(self, address: str, target: str):
-        self.address = address
-        self.delay = 0.0
-        self.silent = False
-        self.blocks_responses = False
-        self._target = target
-        self._writers = set()
-        self._server = None
-
-    async def start(self):
-        """Starts to listen."""
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
-
-    async def _serve(self, reader, writer):
-        host, _, port = self._target.rpartition(":")
-        try:
-            target_reader, target_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        self._writers |= {writer, target_writer}
-        await asyncio.gather(
-            self._pump(reader, target_writer, False), self._pump(target_reader, writer, True)
-        )
-        self._writers -= {writer, target_writer}
-
-    async def _pump(self, reader, writer, from_target):
-        with contextlib.suppress(OSError):
-            while data := await reader.read(65536):
-                await asyncio.sleep(self.delay)
-                # Dropped data is never sent later; the connection is reset after the disturbance.
-                if not self.silent and not (from_target and self.blocks_responses):
-                    writer.write(data)
-        writer.close()
-
-    def reset(self):
-        """Resets all open connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def stop(self):
-        """Stops listening and resets all connections."""
-        self.reset()
-        self._server.close()
-
-
 class Record:
     """Responses and acknowledgements that callers, operators and workers received.
 
@@ -364,7 +307,7 @@
     async def _start_proxies(self):
         for worker in self._fleet.workers:
             worker.call_seconds = CALL_SECONDS
-            proxy = Proxy(f"127.0.3.1:{processes.free_port()}", worker.address)
+            proxy = proxies.Proxy(f"127.0.3.1:{processes.free_port()}", worker.address)
             await proxy.start()
             self._proxy_by_worker[worker] = proxy
             times = self._run_times[worker.worker_id] = []
@@ -373,7 +316,7 @@
             self._fleet.announce_address(worker, proxy.address)
         for node in range(DISK_NODES + DISKLESS_NODES):
             target = self._cluster.address(node, "front")
-            proxy = Proxy(f"127.0.4.1:{processes.free_port()}", target)
+            proxy = proxies.Proxy(f"127.0.4.1:{processes.free_port()}", target)
             await proxy.start()
             self._proxy_by_node[node] = proxy
         await asyncio.sleep(1.5)
