Close connections that deliver nothing whatever is sent on them

What callers saw: changes and reads of the config are refused with "This node is not the leader" for good, although all members live and are reached; a live member is out of touch until it is removed.

Cause: a link looked at the age of the last data only when nothing had been posted for 0.3 s. A leader posts to each member, and a member without a leader repeats its vote requests, every 0.15 s. A connection between two members that stays open and delivers nothing was therefore kept as long as one of them led or asked for votes; once too few members could hear each other's answers, no leader could be elected any more.

The age of the last data is now judged by a monitor that knows only what was received: after 0.3 s without data a ping is sent, and if nothing arrives within 0.9 s, the connection is aborted, whatever is posted meanwhile. Requests that were sent before the ping and have not arrived extend the time by what they need at 250 kB/s; replies tell how far the peer has read. A check that comes late, as after a pause of the process, leaves 0.1 s to read data that has arrived.

--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -1,24 +1,23 @@
 """Connections between the system's processes: a request server and a reconnecting client link."""
 
 import asyncio
+import contextlib
 import inspect
 import logging
+import math
 
 import expression
 
-from chiveswitch.core import clock, codes
+from chiveswitch.core import clock, codes, connection_monitor
 from chiveswitch.peers import frames, kinds
 
 log = logging.getLogger("chiveswitch.peers")
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 PING_INTERVAL_SECONDS = 0.3
-# Ping interval that in effect disables pings. It is used for links on which a call is always
-# pending, because the timeouts of these calls already detect a dead peer.
-PING_DISABLED_SECONDS = 3600.0
-# A connection that delivered no data for this long is closed, because a connection can stay open
-# and never deliver data again.
-RECEIVE_TIMEOUT_SECONDS = 1.0
+# Ping interval that disables pings. It is used for links on which a call is always pending, because
+# the timeouts of these calls already detect a dead peer.
+PING_DISABLED_SECONDS = math.inf
 # Longest pause between two parts of a frame, and longest time for which a call waits for the rest
 # of a frame in addition to its timeout.
 PART_TIMEOUT_SECONDS = 0.7
@@ -168,8 +167,6 @@
 
     Attributes:
         address: `host:port` of the peer.
-        last_data_at: Time of the last data from the peer or of the last connect, in seconds of the
-            injected clock.
         is_receiving: Whether a part of a frame has arrived and the rest is expected.
         bytes_out: Bytes sent so far.
         bytes_in: Bytes received so far; 40 bytes are counted for the envelope of each frame.
@@ -177,7 +174,6 @@
 
     __slots__ = (
         "address",
-        "last_data_at",
         "is_receiving",
         "bytes_out",
         "bytes_in",
@@ -188,7 +184,8 @@
         "_task",
         "_connected",
         "_wake",
-        "_ping_interval",
+        "_monitor_settings",
+        "_monitor",
         "_abort_requested",
     )
 
@@ -198,12 +195,12 @@
         Args:
             address: `host:port` of the peer.
             now: Clock in seconds.
-            ping_interval: Seconds without a request after which a ping is sent.
+            ping_interval: Seconds without data from the peer after which a ping is sent.
         """
         self.address = address
-        self._ping_interval = ping_interval
+        self._monitor_settings = connection_monitor.Settings(probe_interval_s=ping_interval)
+        self._monitor = connection_monitor.ConnectionMonitor(self._monitor_settings, now())
         self._abort_requested = False
-        self.last_data_at = 0.0
         self.is_receiving = False
         self.bytes_out = 0
         self.bytes_in = 0
@@ -220,6 +217,11 @@
         """Whether the connection is open."""
         return self._connected
 
+    @property
+    def last_data_at(self) -> float:
+        """Time of the last data from the peer or of the last connect, in seconds of the clock."""
+        return self._monitor.last_data_at
+
     async def close(self):
         """Closes the connection and fails all pending calls with LINK_CLOSED."""
         self._task.cancel()
@@ -326,7 +328,10 @@
                 continue
             self._connected = True
             self._abort_requested = False
-            self.last_data_at = connected_at = self._now()
+            connected_at = self._now()
+            self._monitor = connection_monitor.ConnectionMonitor(
+                self._monitor_settings, connected_at
+            )
             self.is_receiving = False
             receiver = asyncio.ensure_future(self._receive_replies(reader))
             try:
@@ -361,24 +366,23 @@
                 data = b"".join(self._outbox)
                 self._outbox.clear()
                 self.bytes_out += len(data)
+                self._monitor.record_sent(self._next_request_id - 1, len(data))
                 writer.write(data)
-            self._wake.clear()
-            try:
-                async with asyncio.timeout(self._ping_interval):
-                    await self._wake.wait()
+            verdict = self._monitor.check(self._now())
+            if verdict == connection_monitor.Verdict.PROBE:
+                self.post(kinds.Kind.PING, b"")
                 continue
-            except TimeoutError:
-                pass
-            if self._now() - self.last_data_at > RECEIVE_TIMEOUT_SECONDS:
-                log.info(
-                    "peers: closed the connection to %s: no data received in time", self.address
-                )
+            if verdict == connection_monitor.Verdict.CLOSE:
+                self._abort_requested = True
                 return
-            self.post(kinds.Kind.PING, b"")
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(0.0, self._monitor.next_check_at - self._now())):
+                    await self._wake.wait()
 
     def _record_part(self):
         self.is_receiving = True
-        self.last_data_at = self._now()
+        self._monitor.record_data(self._now())
 
     async def _receive_replies(self, reader):
         while True:
@@ -388,7 +392,7 @@
                 self._wake.set()
                 return
             envelope = result.ok
-            self.last_data_at = self._now()
+            self._monitor.record_reply(envelope.request_id, self._now())
             self.bytes_in += len(envelope.payload) + 40
             future = self._future_by_request_id.pop(envelope.request_id, None)
             if future is None or future.done():
