Close connections of the system's own peers on which nothing arrives

The server's side of a connection had no time-out at all: when a peer's machine is gone or its connection is silent, its end is never seen, and the descriptor, the task and what was read of a frame are kept until the process ends. A peer that reconnects after each silence leaves one more behind each time.

A check that comes late, as after a pause of this process, closes none.

test_a_server_closes_connections_on_which_nothing_arrives fails without the check (no end of the connection within 10 s) and passes with it.

--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -25,6 +25,10 @@
 RECONNECT_PAUSE_SECONDS = 0.1
 MAX_QUEUED_FRAMES = 10_000
 CLOSE_TIMEOUT_SECONDS = 1.0
+# A server closes a connection on which no part of a request arrives for this long. Clients send at
+# least a ping or a call that is held every few seconds; the time is longer than usual pauses.
+IDLE_TIMEOUT_SECONDS = 15.0
+IDLE_CHECK_SECONDS = 1.0
 
 
 class Server:
@@ -42,7 +46,8 @@
     __slots__ = (
         "handler_by_kind",
         "_server",
-        "_writers",
+        "_heard_at_by_writer",
+        "_idle_task",
         "_handler_tasks",
         "_connection_tasks",
         "bytes_in",
@@ -52,7 +57,9 @@
     def __init__(self, handler_by_kind: dict):
         self.handler_by_kind = handler_by_kind
         self._server = None
-        self._writers = set()
+        # Time of the last part of a request on each open connection, in seconds.
+        self._heard_at_by_writer = {}
+        self._idle_task = None
         self._handler_tasks = set()
         self._connection_tasks = set()
         self.bytes_in = 0
@@ -65,24 +72,51 @@
             OSError: The address cannot be bound.
         """
         self._server = await asyncio.start_server(self._serve_connection, host, port, limit=1 << 20)
+        self._idle_task = asyncio.ensure_future(self._close_idle_connections())
 
     async def close(self):
         """Stops listening and closes all connections."""
+        self._idle_task.cancel()
         self._server.close()
         for task in list(self._handler_tasks):
             task.cancel()
-        for writer in list(self._writers):
+        for writer in list(self._heard_at_by_writer):
             writer.close()
         # asyncio logs an error for each task that is still pending when the event loop ends.
         if self._connection_tasks:
             await asyncio.wait(self._connection_tasks, timeout=CLOSE_TIMEOUT_SECONDS)
 
+    async def _close_idle_connections(self):
+        """Closes connections of peers that are gone or no longer reached, until it is cancelled."""
+        checked_at = clock.now()
+        while True:
+            await asyncio.sleep(IDLE_CHECK_SECONDS)
+            now = clock.now()
+            is_late = now - checked_at > 2 * IDLE_CHECK_SECONDS
+            checked_at = now
+            if is_late:
+                # After a pause of this process, requests may have arrived that are not read yet.
+                continue
+            for writer, heard_at in list(self._heard_at_by_writer.items()):
+                if now - heard_at <= IDLE_TIMEOUT_SECONDS:
+                    continue
+                log.info(
+                    "peers: closed a connection of %s on which nothing arrived for %.1f s",
+                    writer.get_extra_info("peername"),
+                    now - heard_at,
+                )
+                writer.transport.abort()
+
     async def _serve_connection(self, reader, writer):
-        self._writers.add(writer)
+        def record_part():
+            self._heard_at_by_writer[writer] = clock.now()
+
+        record_part()
         self._connection_tasks.add(asyncio.current_task())
         try:
             while True:
-                result = await frames.read_frame(reader)
+                result = await frames.read_frame(reader, record_part)
+                record_part()
                 if result.is_error():
                     if result.error.code != codes.Code.LINK_CLOSED:
                         log.warning("peers: closed a connection: %s", result.error.message)
@@ -115,7 +149,7 @@
                 self._handler_tasks.add(task)
                 task.add_done_callback(self._handler_tasks.discard)
         finally:
-            self._writers.discard(writer)
+            self._heard_at_by_writer.pop(writer, None)
             self._connection_tasks.discard(asyncio.current_task())
             writer.close()
 
--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -1,6 +1,7 @@
 """Tests of client links and their server over the loopback interface."""
 
 import asyncio
+from unittest import mock
 
 import expression
 
@@ -127,3 +128,29 @@
     assert raised.error.code == later.error.code == codes.Code.INTERNAL
     assert "9999" in later.error.message
     assert sound.ok == b"sound" and connected
+
+
+def test_a_server_closes_connections_on_which_nothing_arrives():
+    # Guards against connections of peers that are gone, which are kept until the process ends, and
+    # against closing those of peers that have no requests but send pings.
+    async def scenario():
+        server, link = await start(lambda payload, _trace: expression.Ok(payload))
+        await call_until_ok(link, b"first")
+        host, _, port = link.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            async with asyncio.timeout(10.0):
+                assert await reader.read() == b""
+        except ConnectionResetError:
+            pass
+        kept = link.connected
+        writer.close()
+        await link.close()
+        await server.close()
+        return kept
+
+    with (
+        mock.patch.object(links, "IDLE_TIMEOUT_SECONDS", 1.0),
+        mock.patch.object(links, "IDLE_CHECK_SECONDS", 0.2),
+    ):
+        assert run(scenario())
