Give up callers that take no bytes of a complete response

A connection whose response is complete but not sent was closed after the idle timeout, and each later check set the time of that close anew while bytes were unsent. A caller that is gone without a reset, or that never reads, therefore kept its connection, a descriptor and the unsent bytes until the process ended.

The time is now counted from the last moment at which the system took bytes; after the idle timeout of the limits without that, the connection is reset. The wait for the caller of a request in progress stays bounded by its deadline. A check that comes late, as after a pause, closes nothing.

test_a_connection_whose_caller_takes_no_bytes_is_given_up failed before (2 of 2 cases: the connection is still there after 4 s, with an idle timeout of 0.5 s) and passes; test_a_slow_caller_receives_the_whole_response shows that a caller that reads slowly, for longer than the timeout, gets everything.

--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -240,6 +240,11 @@
         self._closed = False
         # Time at which the sending side was ended, in seconds of `core.clock`, or None.
         self._ended_at = None
+        # Bytes written so far, the number of them that the system had taken at the latest check,
+        # and the time at which this number last grew or nothing was left to take.
+        self._written_bytes = 0
+        self._taken_bytes = 0
+        self._taken_at = self._last_active_at
 
     # Callbacks of the event loop.
 
@@ -407,6 +412,7 @@
     def write(self, data: bytes):
         """Writes bytes to the transport unless the connection is closing."""
         if self._ended_at is None and not self._transport.is_closing():
+            self._written_bytes += len(data)
             self._transport.write(data)
 
     def close(self):
@@ -477,18 +483,29 @@
         return "idle" if self._ended_at is None else "ending"
 
     def close_if_expired(self, now: float):
-        """Closes the connection if it was idle, or its request has been arriving, for too long."""
+        """Closes the connection if it was idle, or its request has been arriving, for too long.
+
+        The same holds for a caller that takes nothing of a complete response. The deadline of a
+        request in progress bounds the wait for its caller.
+        """
         if self._transport.is_closing():
             return
+        limits = self.server.limits()
+        unsent_bytes = self.unsent_bytes
+        taken_bytes = self._written_bytes - unsent_bytes
+        if taken_bytes > self._taken_bytes or not unsent_bytes:
+            self._taken_bytes, self._taken_at = taken_bytes, now
+        if self._task is None and now - self._taken_at > limits.idle_timeout_s:
+            self._transport.abort()
+            return
         if self._ended_at is not None:
-            if self.unsent_bytes:
+            if unsent_bytes:
                 self._ended_at = now
             elif now - self._ended_at > LINGER_SECONDS:
                 self._transport.abort()
             return
         if self._task is not None:
             return
-        limits = self.server.limits()
         if self._request is not None:
             if now - self._progress_at > limits.header_timeout_s:
                 Responder(self, False).send(408, [])
@@ -541,9 +558,15 @@
         self._expiry_task = loop.create_task(self._close_expired())
 
     async def _close_expired(self):
+        checked_at = clock.now()
         while True:
             await asyncio.sleep(EXPIRY_CHECK_SECONDS)
             now = clock.now()
+            is_late = now - checked_at > 2 * EXPIRY_CHECK_SECONDS
+            checked_at = now
+            if is_late:
+                # After a pause of this process, callers may have sent or read without a notice.
+                continue
             for connection in list(self.connections):
                 connection.close_if_expired(now)
 
--- a/chiveswitch/forwarding/http_server_test.py
+++ b/chiveswitch/forwarding/http_server_test.py
@@ -348,3 +348,31 @@
         idle.close()
 
     run(scenario)
+
+
+@pytest.mark.parametrize("field", [b"", b"Connection: close\r\n"])
+def test_a_connection_whose_caller_takes_no_bytes_is_given_up(field):
+    # Guards against connections of callers that are gone without a reset, which are kept with their
+    # unsent bytes until the process ends because each check prolongs them.
+    async def scenario(echo, address):
+        silent = await connect(address, b"GET /large HTTP/1.1\r\nHost: h\r\n" + field + b"\r\n")
+        await platform_standins.wait_until(lambda: echo.server.busy_count() == 1)
+        await platform_standins.wait_until(lambda: not echo.server.connections, 4.0)
+        silent.close()
+
+    run(scenario)
+
+
+def test_a_slow_caller_receives_the_whole_response():
+    # Guards against giving up a caller that reads slowly, for longer than the idle timeout.
+    async def scenario(_echo, address):
+        caller = await connect(address, b"GET /large HTTP/1.1\r\nConnection: close\r\n\r\n")
+        loop, started, size = asyncio.get_running_loop(), clock.now(), 0
+        while data := await loop.sock_recv(caller, 400_000):
+            size += len(data)
+            await asyncio.sleep(0.04)
+        assert size > len(LARGE_BODY)
+        assert clock.now() - started > LIMITS.idle_timeout_s
+        caller.close()
+
+    run(scenario)
