Discard what a silent peer does not accept when a connection is closed

A close waits until the peer has accepted the data in the write buffer, which a peer that hangs or is behind a silent connection never does. Links that were closed by their owner (after a change of the members, for example), and connections that a server ended, kept the transport, its descriptor and the data until the process ended; a server's own close left their tasks behind.

test_a_link_to_a_peer_that_reads_nothing_is_closed_in_time (not closed within 3 s) and test_a_server_closes_connections_of_peers_that_read_nothing_in_time (task not ended after the close) failed before and pass.

--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -31,6 +31,18 @@
 IDLE_CHECK_SECONDS = 1.0
 
 
+def _close_in_time(writer):
+    """Closes a connection and discards what the peer does not accept in `CLOSE_TIMEOUT_SECONDS`.
+
+    A plain close waits for the peer to accept the data in the write buffer, which a peer that hangs
+    or is no longer reached never does.
+    """
+    writer.close()
+    if writer.transport.get_write_buffer_size():
+        loop = asyncio.get_running_loop()
+        loop.call_later(CLOSE_TIMEOUT_SECONDS, writer.transport.abort)
+
+
 class Server:
     """Answers requests of other processes.
 
@@ -83,8 +95,13 @@
         for writer in list(self._heard_at_by_writer):
             writer.close()
         # asyncio logs an error for each task that is still pending when the event loop ends.
-        if self._connection_tasks:
-            await asyncio.wait(self._connection_tasks, timeout=CLOSE_TIMEOUT_SECONDS)
+        if not self._connection_tasks:
+            return
+        _, pending = await asyncio.wait(self._connection_tasks, timeout=CLOSE_TIMEOUT_SECONDS)
+        for writer in list(self._heard_at_by_writer):
+            writer.transport.abort()
+        if pending:
+            await asyncio.wait(pending, timeout=CLOSE_TIMEOUT_SECONDS)
 
     async def _close_idle_connections(self):
         """Closes connections of peers that are gone or no longer reached, until it is cancelled."""
@@ -151,7 +168,7 @@
         finally:
             self._heard_at_by_writer.pop(writer, None)
             self._connection_tasks.discard(asyncio.current_task())
-            writer.close()
+            _close_in_time(writer)
 
     async def _reply_when_done(self, writer, envelope, outcome):
         try:
@@ -375,10 +392,8 @@
                 self._connected = self.is_receiving = False
                 receiver.cancel()
                 if self._abort_requested:
-                    # A plain close waits for the peer to accept the data in the write buffer, which
-                    # a hung peer never does.
                     writer.transport.abort()
-                writer.close()
+                _close_in_time(writer)
                 self._fail_pending_calls(
                     codes.Code.LINK_CLOSED, f"lost the connection to {self.address}"
                 )
--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -1,13 +1,15 @@
 """Tests of client links and their server over the loopback interface."""
 
 import asyncio
+import socket
 from unittest import mock
 
 import expression
 
 from chiveswitch.core import codes
-from chiveswitch.peers import kinds, links
+from chiveswitch.peers import frames, kinds, links
 from chiveswitch.tools import processes
+from features import platform_standins
 
 KIND = kinds.Kind.DIRECTORY_PULL
 
@@ -154,3 +156,59 @@
         mock.patch.object(links, "IDLE_CHECK_SECONDS", 0.2),
     ):
         assert run(scenario())
+
+
+def test_a_link_to_a_peer_that_reads_nothing_is_closed_in_time():
+    # Guards against a connection that is closed and yet kept, with what the peer has not accepted,
+    # until the process ends.
+    async def scenario():
+        writers = []
+        open_connection = asyncio.open_connection
+
+        async def record_connection(*args, **options):
+            reader, writer = await open_connection(*args, **options)
+            writers.append(writer)
+            return reader, writer
+
+        with socket.create_server(("127.0.0.1", 0)) as peer:
+            with mock.patch.object(asyncio, "open_connection", record_connection):
+                link = links.Link(f"127.0.0.1:{peer.getsockname()[1]}")
+                await platform_standins.wait_until(lambda: link.connected)
+            link.post(KIND, bytes(16 << 20))
+            (writer,) = writers
+            await platform_standins.wait_until(writer.transport.get_write_buffer_size)
+            await link.close()
+            await asyncio.wait_for(asyncio.shield(writer.wait_closed()), 3.0)
+
+    run(scenario())
+
+
+def test_a_server_closes_connections_of_peers_that_read_nothing_in_time():
+    # Guards against a server that waits for a peer which accepts no replies any more.
+    async def scenario():
+        server, link = await start(lambda payload, _trace: expression.Ok(payload))
+        await call_until_ok(link, b"first")
+        await link.close()
+        request = frames.encode_frame(
+            frames.idl.Envelope(
+                version=frames.WIRE_VERSION,
+                kind=int(KIND),
+                request_id=1,
+                is_reply=False,
+                code=0,
+                payload=bytes(16 << 20),
+                trace="",
+            )
+        )
+        host, _, port = link.address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port), limit=1)
+        writer.write(request)
+        await writer.drain()
+        await platform_standins.wait_until(lambda: server.bytes_out > len(request) / 2)
+        tasks = set(server._connection_tasks)
+        await server.close()
+        await asyncio.sleep(2 * links.CLOSE_TIMEOUT_SECONDS)
+        assert tasks and all(task.done() for task in tasks)
+        writer.transport.abort()
+
+    run(scenario())
