Close idle channels to a target after one of them has stayed silent

Channels to a target that stay open and deliver nothing usually become silent at the same moment. A repeatable call could spend all its sends on such channels, and call after call was lost.

A call that has no response after the time after which a repeatable one is sent again now closes the idle channels of the target on which no response has ended since it was sent. Channels that delivered one meanwhile are kept. A call that may not be repeated still waits for its own response to the end.

--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -94,12 +94,12 @@
         if not admitted.may_have_run and forwarder.must_refuse(admitted):
             channel.abort()
             continue
-        attempt_timeout_s = (
-            _attempt_timeout_s(admitted, target, run_count)
-            if repeatable
-            else admitted.remaining_s()
+        attempt_timeout_s = suspicion_s = _attempt_timeout_s(admitted, target)
+        if not repeatable or run_count + 1 >= admitted.route.max_runs:
+            attempt_timeout_s = admitted.remaining_s()
+        outcome = await _send_call(
+            forwarder, admitted, target, channel, attempt_timeout_s, suspicion_s
         )
-        outcome = await _send_call(forwarder, admitted, target, channel, attempt_timeout_s)
         if outcome.rejected:
             rejection_count += 1
             excluded_ids.add(target.target_id)
@@ -184,11 +184,9 @@
         self.reason = reason
 
 
-def _attempt_timeout_s(admitted, target, run_count):
-    """Returns the seconds after which an idempotent call is sent to the next target."""
+def _attempt_timeout_s(admitted, target):
+    """Returns the seconds after which a call that may be repeated is sent to the next target."""
     remaining_s = admitted.remaining_s()
-    if run_count + 1 >= admitted.route.max_runs:
-        return remaining_s
     timeout_from_latency_s = max(
         MIN_ATTEMPT_TIMEOUT_SECONDS, ATTEMPT_TIMEOUT_LATENCY_FACTOR * target.latency_s
     )
@@ -201,10 +199,21 @@
     )
 
 
-async def _send_call(forwarder, admitted, target, channel, attempt_timeout_s) -> SendOutcome:
+async def _send_call(
+    forwarder, admitted, target, channel, attempt_timeout_s, suspicion_s
+) -> SendOutcome:
     """Sends the call once and waits for the response.
 
     Releases or closes the channel unless a part of a large response is returned.
+
+    Args:
+        forwarder: The `forwarder.Forwarder`.
+        admitted: The call.
+        target: The target.
+        channel: An idle or new channel to it.
+        attempt_timeout_s: Seconds to wait for the response.
+        suspicion_s: Seconds without a response after which the target's idle channels may be
+            silent like this one.
     """
     started = clock.now()
     dialect = forwarder.dialect
@@ -220,7 +229,12 @@
             dialect.encode_request(admitted.request, admitted.caller, options),
             dialect.request_id_header(admitted.caller),
         )
-        response = await channel.read_response(started + attempt_timeout_s, accepts_part=True)
+        suspicious_at = started + min(suspicion_s, attempt_timeout_s)
+        response = await channel.read_response(suspicious_at, accepts_part=True)
+        if response is None and not channel.failure_reason and not channel.response.status:
+            forwarder.pool.close_unused_since(target.target_id, started)
+        if response is None and not channel.failure_reason:
+            response = await channel.read_response(started + attempt_timeout_s, accepts_part=True)
     except BaseException:
         channel.abort()
         raise
--- a/chiveswitch/forwarding/pool.py
+++ b/chiveswitch/forwarding/pool.py
@@ -91,6 +91,20 @@
         for channel in self._idle_channels_by_target.pop(target_id, []):
             channel.abort()
 
+    def close_unused_since(self, target_id: str, time: float):
+        """Closes idle channels of a target on which no response has ended since a time.
+
+        Channels can stay open and deliver nothing, usually all of them from the same moment on.
+
+        Args:
+            target_id: Id of the target.
+            time: Time in seconds since which another channel of the target has been silent.
+        """
+        for channel in self._idle_channels_by_target.get(target_id, [])[:]:
+            if channel.last_used_at < time:
+                self._idle_channels_by_target[target_id].remove(channel)
+                channel.abort()
+
     def close_stale_channels(self):
         """Closes channels that failed or were idle for too long."""
         now = clock.now()
