Tell a silent channel from a lost engine by the engine's other responses

A stream whose channel stayed open and delivered nothing recorded the loss of its engine, even if the engine went on responding on other channels. All gateways were told, avoided the engine for 1 s and more, and made no copies there; where several channels of a zone were silent, the whole zone was avoided.

A silent engine that has responded in the later half of the silence is now avoided for 0.3 s by this gateway only, as after a broken connection. The first half is left out because the last responses of an engine that is lost arrive at about the same time on all channels. An engine that no longer accepts connections is recorded as lost as before.

test_an_engine_that_answers_on_other_channels_is_not_lost_after_a_silent_one (through sockets: the loss of e1 was reported) failed before and passes.

--- a/chiveswitch/core/target_table.py
+++ b/chiveswitch/core/target_table.py
@@ -178,6 +178,18 @@
         self._failures_in_a_row = 0
         self.avoided_until = 0.0
 
+    def has_responded_during(self, silent_since: float, now: float) -> bool:
+        """Returns whether the target responded while one connection to it was silent.
+
+        Only the later half of the silence counts: the last responses of a target that was lost
+        arrive at about the same time on all of its connections.
+
+        Args:
+            silent_since: Time of the last data on that connection, in seconds.
+            now: Current time in seconds.
+        """
+        return self.last_contact_at > (silent_since + now) / 2
+
     def is_lost(self, now: float) -> bool:
         """Returns whether the target is avoided because of a loss, not only of a suspicion."""
         return self.avoided_until > now and self._failures_in_a_row > 0
--- a/chiveswitch/core/target_table_test.py
+++ b/chiveswitch/core/target_table_test.py
@@ -220,6 +220,16 @@
     assert table.find("a5").avoided_until == 0.0
 
 
+def test_a_target_that_responds_during_a_silence_is_told_from_one_that_was_lost():
+    # Guards against taking the last responses of a lost target for a sign of life.
+    target = target_table.Target(report())
+    target.record_contact(10.1)
+    assert not target.has_responded_during(10.0, 11.0)
+    target.record_contact(10.6)
+    assert target.has_responded_during(10.0, 11.0)
+    assert not target.has_responded_during(10.0, 12.0)
+
+
 def test_one_loss_is_reported_once_and_counts_as_one_failure():
     # Guards against a flood of loss reports, and too long avoidance, when many streams detect the
     # same loss.
--- a/chiveswitch/forwarding/silent_channels_test.py
+++ b/chiveswitch/forwarding/silent_channels_test.py
@@ -5,7 +5,7 @@
 from chiveswitch.core import clock
 from chiveswitch.forwarding import pool
 from chiveswitch.forwarding import forwarder_test as fixtures
-from features import proxies
+from features import platform_standins, proxies
 
 call, run = fixtures.call, fixtures.run
 
@@ -70,3 +70,30 @@
         await proxy.stop()
 
     run(scenario, tmp_path)
+
+
+def test_an_engine_that_answers_on_other_channels_is_not_lost_after_a_silent_one(tmp_path):
+    # Guards against avoiding, at all gateways, a live engine of which one old channel is silent.
+    async def scenario(fixture):
+        lost_ids = []
+        fixture.table.on_lost = lost_ids.append
+        worker, proxy = await add_behind_proxy(fixture, "e1", "engines", "a")
+        worker.event_seconds = 0.05
+        worker.events = 30
+        first = asyncio.ensure_future(fixtures.stream(fixture, "r1"))
+        await asyncio.sleep(0.5)
+        proxy.silence_open_connections()
+        silent_at = clock.now()
+        await asyncio.sleep(0.1)
+        second = asyncio.ensure_future(fixtures.stream(fixture, "r2"))
+        await platform_standins.wait_until(lambda: proxy.accepted >= 2)
+        answer = await first
+        assert answer.complete and answer.event_ids() == list(range(30))
+        assert clock.now() - silent_at < 7.0
+        assert (await second).complete
+        assert lost_ids == []
+        await proxy.stop()
+
+    text = run(scenario, tmp_path)
+    line = next(line for line in text.split("\n") if "gateway: stream_moves" in line)
+    assert "reason=silent" in line.replace('"', "")
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -59,7 +59,8 @@
 
     DELIVERED: the caller received the whole response.
     REJECTED: the engine stated that it did not run the request.
-    SILENT: the engine sent no event in time or no longer accepts connections.
+    SILENT: the engine sent no event in time.
+    UNREACHABLE: the engine sent no event and no longer accepts connections.
     DISCONNECTED: the connection to the engine ended.
     FAULTY: the engine sent something else than the expected events.
     EXPIRED: the caller's deadline passed.
@@ -69,6 +70,7 @@
     DELIVERED = enum.auto()
     REJECTED = enum.auto()
     SILENT = enum.auto()
+    UNREACHABLE = enum.auto()
     DISCONNECTED = enum.auto()
     FAULTY = enum.auto()
     EXPIRED = enum.auto()
@@ -501,7 +503,7 @@
                     return AttemptEnd.QUARANTINED, f"{self.quarantined_part} crashes engines"
                 if probe is not None and probe.done():
                     if not probe.result():
-                        return AttemptEnd.SILENT, "no longer accepts connections"
+                        return AttemptEnd.UNREACHABLE, "no longer accepts connections"
                     probe, probe_succeeded = None, True
                     if not got_events:
                         # The engine is alive; it is probed again after another interval.
@@ -571,6 +573,14 @@
         asyncio.get_running_loop().call_soon(channel.wake_waiter)
         return reachable
 
+    def record_silence(self, target, now: float):
+        """Records that an engine was silent, or only the channel if it responded on others."""
+        silent_since = max(self.sent_at, self.delivered_at)
+        if target.has_responded_during(silent_since, now):
+            target.suspect(now)
+            return
+        self.forwarder.target_table.record_loss(target, now)
+
     def begin_response(self, channel):
         """Writes the head of the response to the caller once; returns the caller's responder.
 
@@ -756,6 +766,8 @@
         else:
             run_count += 1
             if end == AttemptEnd.SILENT:
+                stream.record_silence(target, now)
+            elif end == AttemptEnd.UNREACHABLE:
                 forwarder.target_table.record_loss(target, now)
             elif end == AttemptEnd.DISCONNECTED:
                 check = forwarder.check_target(target)
