Do not reuse a kept HTTP connection after a request on it has failed

The clients of announcements, callers, engines and the weight store share kept connections. After a request that timed out, the library puts its connection back into the pool: what earlier requests received still vouches for it. If it delivers nothing, each further request to that address times out on it, although a new connection would work: a target counts as gone, a caller's calls fail. If it is only slow, the late response is taken for that to the next request.

A connection whose request ends with an error, a time-out or a cancellation is now closed before it gets back to the pool. Clients that open a connection for each request (orders, unary calls, the operators' client) were sound.

--- a/chiveswitch/callers/client.py
+++ b/chiveswitch/callers/client.py
@@ -7,9 +7,9 @@
 
 import aiosonic
 import orjson
-from aiosonic import connectors, pools
 
 from chiveswitch.core import clock, sse
+from chiveswitch.targets import pooled_client
 
 log = logging.getLogger("chiveswitch.caller")
 
@@ -94,11 +94,7 @@
         self._valid_until = 0.0
         self._next_address = 0
         self._failed_at_by_address = {}
-        self._http = aiosonic.HTTPClient(
-            connectors.TCPConnector(
-                pool_configs={":default": pools.PoolConfig(size=2000, max_conn_idle_ms=1000)}
-            )
-        )
+        self._http = pooled_client.new_client(size=2000, max_conn_idle_ms=1000)
 
     async def close(self):
         """Closes all connections."""
--- a/chiveswitch/engine_orders/weight_store.py
+++ b/chiveswitch/engine_orders/weight_store.py
@@ -13,6 +13,7 @@
 from starlette import applications, responses, routing
 
 from chiveswitch.core import clock, codes
+from chiveswitch.targets import pooled_client
 
 FETCH_TIMEOUTS = aiosonic.timeout.Timeouts(sock_connect=0.5, sock_read=10.0, request_timeout=30.0)
 # Upper bound of an accepted `Retry-After`. A faulty, very large value must not stop all loads.
@@ -92,7 +93,7 @@
     def __init__(self, address: str, token_bucket: TokenBucket, now=clock.now):
         self.address = address
         self.token_bucket = token_bucket
-        self._client = aiosonic.HTTPClient()
+        self._client = pooled_client.new_client()
         self._now = now
 
     async def close(self):
--- a/chiveswitch/targets/announcer.py
+++ b/chiveswitch/targets/announcer.py
@@ -7,6 +7,7 @@
 import orjson
 
 from chiveswitch.core import clock
+from chiveswitch.targets import pooled_client
 
 log = logging.getLogger("chiveswitch.announcer")
 
@@ -90,7 +91,7 @@
             for i in range(min(GATEWAYS_AT_A_TIME, len(self.gateways)))
         ]
         self._ticket_by_gateway = {}
-        self._client = aiosonic.HTTPClient()
+        self._client = pooled_client.new_client()
 
     async def run(self):
         """Announces until cancelled, and then closes the connections to the gateways."""
--- a/chiveswitch/targets/engine_client.py
+++ b/chiveswitch/targets/engine_client.py
@@ -2,9 +2,9 @@
 
 import aiosonic
 import orjson
-from aiosonic import connectors, pools
 
 from chiveswitch.core import sse
+from chiveswitch.targets import pooled_client
 
 # The library queues requests when all connections of its pool are in use, so the pool is large.
 POOL_SIZE = 4000
@@ -50,14 +50,8 @@
     __slots__ = ("_client",)
 
     def __init__(self):
-        self._client = aiosonic.HTTPClient(
-            connectors.TCPConnector(
-                pool_configs={
-                    ":default": pools.PoolConfig(
-                        size=POOL_SIZE, max_conn_idle_ms=1000, max_conn_requests=100
-                    )
-                }
-            )
+        self._client = pooled_client.new_client(
+            size=POOL_SIZE, max_conn_idle_ms=1000, max_conn_requests=100
         )
 
     async def close(self):
