Count votes that arrive after the election timeout of a candidate

Cause: a candidate whose timer ran out became a pre-candidate and dropped the votes for its current term that arrived from then on. If a vote takes longer than the election timeout of 0.6 to 1.2 s (two syncs of 0.5 s, or three turns that are 0.4 s late), the only candidate drops the votes of all others, raises its term and asks them again.

A vote is valid as long as the term lasts, so a majority of votes of the current term makes a leader of a pre-candidate, too. A term is led once by a process: rounds of reads are numbered from 1 with each leadership, and late answers to an earlier one would confirm stale reads.

--- a/chiveswitch/core/consensus.py
+++ b/chiveswitch/core/consensus.py
@@ -170,7 +170,9 @@
         "_now",
         "_vote",
         "_leadership",
+        "_pre_votes",
         "_votes",
+        "_campaign_term",
         "_pre_vote_round",
         "_election_at",
         "_resend_at",
@@ -225,7 +227,10 @@
         self._now = now
         self._vote = stored.hard_state.vote
         self._leadership = None
+        self._pre_votes = set()
         self._votes = set()
+        # Term in which this process asks for votes, until it leads in it.
+        self._campaign_term = None
         self._pre_vote_round = 0
         self._leader_contact_at = -math.inf
         self._last_leader_id = None
@@ -334,15 +339,15 @@
         self.role = Role.PRE_CANDIDATE
         self.leader_id = None
         self._pre_vote_round += 1
-        self._votes = {self.node_id}
+        self._pre_votes = {self.node_id}
         self._arm_election_timer()
         self._send_vote_requests()
 
     def _start_election(self) -> None:
         self._set_hard_state(self.term + 1, self.node_id)
-        self.role = Role.CANDIDATE
-        # `_count_votes` adds this node's vote once it is durable.
+        self._campaign_term = self.term
         self._votes = set()
+        self.role = Role.CANDIDATE
         self._arm_election_timer()
         self._send_vote_requests()
 
@@ -350,13 +355,15 @@
         """Sends the request of this candidacy to the voters that have not granted it."""
         last_index, last_term = self.log.last_index(), self.log.last_term()
         if self.role == Role.PRE_CANDIDATE:
+            granted_ids = self._pre_votes
             request = messages.PreVoteRequest(
                 self.term + 1, self._pre_vote_round, last_index, last_term
             )
         else:
+            granted_ids = self._votes
             request = messages.VoteRequest(self.term, last_index, last_term)
         for voter_id in self.log.configuration().voters:
-            if voter_id != self.node_id and voter_id not in self._votes:
+            if voter_id != self.node_id and voter_id not in granted_ids:
                 self._queue_message(voter_id, request)
         self._resend_at = self._now + self._settings.heartbeat_interval
 
@@ -368,22 +375,28 @@
         if self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
             self._send_vote_requests()
 
-    def _has_majority(self) -> bool:
+    def _is_majority(self, granted_ids: set) -> bool:
         voters = self.log.configuration().voters
-        return 2 * len(self._votes.intersection(voters)) > len(voters)
+        return 2 * len(granted_ids.intersection(voters)) > len(voters)
 
     def _count_votes(self) -> None:
-        if self.role == Role.PRE_CANDIDATE and self._has_majority():
-            self._start_election()
-        if self.role != Role.CANDIDATE:
+        if self.role not in (Role.PRE_CANDIDATE, Role.CANDIDATE):
             return
-        if not self._hard_state_unwritten and self._durable_token >= self._hard_state_token:
-            self._votes.add(self.node_id)
-        if self._has_majority():
-            self._become_leader()
+        # Votes stay valid as long as the term lasts, even if they arrive so late that this node is
+        # a pre-candidate again. A term that it has led is not led again: answers to the earlier
+        # rounds would confirm reads of the later ones.
+        if self._campaign_term == self.term:
+            if not self._hard_state_unwritten and self._durable_token >= self._hard_state_token:
+                self._votes.add(self.node_id)
+            if self._is_majority(self._votes):
+                self._become_leader()
+                return
+        if self.role == Role.PRE_CANDIDATE and self._is_majority(self._pre_votes):
+            self._start_election()
 
     def _become_leader(self) -> None:
         self.role = Role.LEADER
+        self._campaign_term = None
         self.leader_id = self.node_id
         self._leadership = consensus_leader.Leadership(
             self.node_id, self.term, self.log, self._settings, self._now
@@ -482,7 +495,7 @@
         if self.role != Role.PRE_CANDIDATE or response.round != self._pre_vote_round:
             return
         if response.granted:
-            self._votes.add(sender)
+            self._pre_votes.add(sender)
 
     def _on_vote_request(self, sender: str, request: messages.VoteRequest) -> None:
         reason = self._refusal_reason(request)
@@ -501,7 +514,7 @@
         self._queue_message(sender, messages.VoteResponse(self.term, granted))
 
     def _on_vote_response(self, sender: str, response: messages.VoteResponse) -> None:
-        if self.role == Role.CANDIDATE and response.term == self.term and response.granted:
+        if response.granted and response.term == self.term == self._campaign_term:
             self._votes.add(sender)
 
     def _accept_leader(self, sender: str) -> None:
--- a/chiveswitch/core/consensus_test.py
+++ b/chiveswitch/core/consensus_test.py
@@ -24,6 +24,9 @@
     "trailing_entries": 5,
 }
 
+# Time within which a leader that is lost has to be replaced.
+LEADER_SECONDS = 4.0
+
 
 class Disk:
     """Disk that loses its unsynced actions in a crash, except a prefix of the oldest records."""
@@ -816,3 +819,70 @@
     node = consensus.Node("a", state, consensus.Settings(), random.Random(1), 0.0)
     assert node.handle(messages.Tick(), node.next_deadline() + 5) == []
     assert len(node.handle(messages.Tick(), node.next_deadline())) == 3
+
+
+def start_campaign():
+    """Returns a node that has asked two others for their votes, and the time."""
+    state = messages.initial_state(messages.Configuration({"a": "", "b": "", "c": ""}))
+    node = consensus.Node("a", state, consensus.Settings(), random.Random(1), 0.0)
+    now = node.next_deadline()
+    node.handle(messages.Tick(), now)
+    node.handle(messages.Received("b", messages.PreVoteResponse(0, 1, True)), now)
+    assert node.role == consensus.Role.CANDIDATE
+    node.handle(messages.Persisted(1), now)
+    return node, now
+
+
+def run_until_next_campaign(node, now):
+    """Lets the timers of a node run out until it is a pre-candidate; returns the time."""
+    for _ in range(20):
+        now = node.next_deadline()
+        node.handle(messages.Tick(), now)
+        if node.role == consensus.Role.PRE_CANDIDATE:
+            return now
+    raise AssertionError("the node does not campaign again")
+
+
+def test_votes_that_arrive_after_the_election_timeout_count():
+    # Guards against members without a leader for as long as a vote takes longer than the election
+    # timeout, because of late turns or slow syncs: the only candidate drops the votes that it gets.
+    node, now = start_campaign()
+    now = run_until_next_campaign(node, now)
+    node.handle(messages.Received("b", messages.VoteResponse(1, True)), now)
+    assert node.role == consensus.Role.LEADER and node.term == 1
+
+
+def test_a_term_that_was_led_is_not_led_again():
+    # Guards against stale reads: rounds of reads start anew with each leadership, and late answers
+    # to those of the first one in a term would confirm those of a second one.
+    node, now = start_campaign()
+    node.handle(messages.Received("b", messages.VoteResponse(1, True)), now)
+    assert node.role == consensus.Role.LEADER
+    node.handle(messages.Persisted(2), now)
+    now = run_until_next_campaign(node, now)
+    for voter_id in ("b", "c"):
+        node.handle(messages.Received(voter_id, messages.VoteResponse(1, True)), now)
+    assert node.role == consensus.Role.PRE_CANDIDATE
+
+
+def test_votes_of_an_earlier_process_do_not_count():
+    # Guards against the same after a restart of a leader, which does not know that it has led.
+    state = messages.initial_state(messages.Configuration({"a": "", "b": "", "c": ""}))
+    state.hard_state = messages.HardState(1, "a")
+    node = consensus.Node("a", state, consensus.Settings(), random.Random(1), 0.0)
+    now = run_until_next_campaign(node, 0.0)
+    for voter_id in ("b", "c"):
+        node.handle(messages.Received(voter_id, messages.VoteResponse(1, True)), now)
+    assert node.role == consensus.Role.PRE_CANDIDATE
+
+
+@pytest.mark.parametrize("sync_seconds", [(0.4, 0.5), (0.5, 0.6)])
+def test_members_with_slow_disks_replace_a_leader(sync_seconds):
+    # Guards the same on members whose every sync takes a large part of the election timeout.
+    for seed in range(20):
+        world = World(seed, 3, settings={})
+        leader = world.wait_for_leader()
+        world.disk_delay = sync_seconds
+        world.run(3)
+        world.crash(leader)
+        assert world.run(LEADER_SECONDS, until=lambda world=world: bool(world.leaders())), seed
