Count the silence of a former leader from the end of its leadership

Cause: a leader gets no messages of a leader, so the time of the last one stood still while it led, and counted again once it stepped down. For the same reason a node that led twice counted the silence of the leader before its first term anew, though that one had responded meanwhile, and removed it 0.6 s earlier than others if a learner could take its place.

A leader that steps down now counts from the last moment at which a majority responded, and forgets the leader before it.

--- a/chiveswitch/core/consensus.py
+++ b/chiveswitch/core/consensus.py
@@ -178,6 +178,7 @@
         "_resend_at",
         "_leader_contact_at",
         "_last_leader_id",
+        "_led_until",
         "_refusal_by_candidate",
         "_actions",
         "_outbox",
@@ -234,6 +235,7 @@
         self._pre_vote_round = 0
         self._leader_contact_at = -math.inf
         self._last_leader_id = None
+        self._led_until = -math.inf
         self._refusal_by_candidate = {}
         self._actions = []
         self._outbox = []
@@ -293,8 +295,13 @@
         return committed
 
     def seconds_since_leader_contact(self, now: float) -> float:
-        """Returns the seconds since the leader's last message; 0 on a leader with a majority."""
-        return 0.0 if self._leadership is not None else now - self._leader_contact_at
+        """Returns the seconds since the last message of a leader, or the end of an own leadership.
+
+        It is 0 on a leader with a majority.
+        """
+        if self._leadership is not None:
+            return 0.0
+        return now - max(self._leader_contact_at, self._led_until)
 
     def pending_write_age(self, now: float) -> float:
         """Returns the seconds for which the oldest write has not been durable; 0 without one."""
@@ -402,6 +409,7 @@
             self.node_id, self.term, self.log, self._settings, self._now
         )
         self._leadership.inherit_silence(self._last_leader_id, self._leader_contact_at, self._now)
+        self._last_leader_id = None
         self._append_entry(messages.EntryKind.NO_OP, b"")
 
     def _become_follower(self, term: int, leader_id: str | None) -> None:
@@ -414,6 +422,7 @@
         leadership, self._leadership = self._leadership, None
         if leadership is None:
             return
+        self._led_until = leadership.majority_response_at(self._now)
         for proposal_id in leadership.proposal_by_index.values():
             result = codes.failure(
                 codes.Code.MAY_HAVE_RUN, "Leadership was lost before the entry was committed."
--- a/chiveswitch/core/consensus_test.py
+++ b/chiveswitch/core/consensus_test.py
@@ -886,3 +886,43 @@
         world.run(3)
         world.crash(leader)
         assert world.run(LEADER_SECONDS, until=lambda world=world: bool(world.leaders())), seed
+
+
+def test_a_leader_that_steps_down_has_been_in_touch_until_then():
+    # Guards against a former leader that takes itself for a machine that is out of touch since the
+    # last message of the leader before it, and refuses to serve.
+    node, now = start_campaign()
+    now += 100.0
+    node.handle(messages.Received("b", messages.VoteResponse(1, True)), now)
+    node.handle(messages.Persisted(2), now)
+    assert node.role == consensus.Role.LEADER
+    response = messages.AppendResponse(1, True, 1, 0, 0)
+    responded_at = now + 1.0
+    node.handle(messages.Received("b", response), responded_at)
+    now = responded_at + 2.0
+    node.handle(messages.Tick(), now)
+    assert node.role == consensus.Role.FOLLOWER
+    assert node.seconds_since_leader_contact(now) == pytest.approx(2.0)
+
+
+def test_a_leader_that_leads_again_forgets_the_leader_before_its_first_term():
+    # Guards against a member that responded until a moment ago, and that is removed early because
+    # its silence is counted from the time at which it was the leader itself.
+    node, now = start_campaign()
+    request = messages.AppendRequest(1, 0, 0, [], 0, 0)
+    node.handle(messages.Received("c", request), now)
+    for _ in range(2):
+        now = run_until_next_campaign(node, now + 20.0)
+        term, pre_vote_round = node.term, node._pre_vote_round
+        node.handle(
+            messages.Received("b", messages.PreVoteResponse(term, pre_vote_round, True)), now
+        )
+        node.handle(messages.Persisted(node._last_token), now)
+        node.handle(messages.Received("b", messages.VoteResponse(node.term, True)), now)
+        assert node.role == consensus.Role.LEADER
+        node.handle(messages.Persisted(node._last_token), now)
+        silence = now - node._leadership.progress_by_id["c"].silent_since
+        now += 2.0
+        node.handle(messages.Tick(), now)
+        assert node.role == consensus.Role.FOLLOWER
+    assert silence == 0.0
