Spread requests that waited for the end of a pause

What targets saw: all requests of a gateway that waited for a short pause came back at one moment, so that a target that had just asked for a rest got them in one burst.

Cause: each of them slept until the same time, the end of the pause. Only the ends at different gateways, and the times that refused callers are told, were spread.

The new test failed before: all 60 waits had the same length.

--- a/chiveswitch/forwarding/pauses.py
+++ b/chiveswitch/forwarding/pauses.py
@@ -15,7 +15,8 @@
 RETURN_SHARE = 0.1
 MAX_RETURN_DELAY_SECONDS = 1.0
 # Time in seconds over which the callers of one priority are told to return after the end of a
-# pause; callers of the next priority return after them.
+# pause, and over which requests that wait for the end return; callers of the next priority return
+# after them.
 RETURN_SPREAD_SECONDS = 0.2
 # Share of the latency objective, and of the remaining time, for which a request waits for the end
 # of a pause.
@@ -71,8 +72,10 @@
     """
     if not targets or without_pause(targets):
         return 0.0
-    left_s = min(target.paused_until for target in targets) - clock.now()
-    if left_s <= WAIT_SHARE * min(admitted.route.objective_s, admitted.remaining_s()):
-        await asyncio.sleep(max(0.0, left_s))
+    left_s = max(0.0, min(target.paused_until for target in targets) - clock.now())
+    max_wait_s = WAIT_SHARE * min(admitted.route.objective_s, admitted.remaining_s())
+    if left_s <= max_wait_s:
+        spread_s = min(RETURN_SPREAD_SECONDS, max_wait_s - left_s)
+        await asyncio.sleep(left_s + spread_s * forwarder.rng.random())
         return 0.0
     return left_s + RETURN_SPREAD_SECONDS * (admitted.priority + forwarder.rng.random())
--- a/chiveswitch/forwarding/pauses_test.py
+++ b/chiveswitch/forwarding/pauses_test.py
@@ -1,6 +1,8 @@
 """Tests of calls and streams to targets that ask for a pause when they refuse a request."""
 
 import asyncio
+import random
+import unittest.mock
 
 import pytest
 
@@ -76,6 +78,29 @@
     forwarder_test.run(scenario, tmp_path)
 
 
+def test_requests_that_wait_for_the_end_of_a_pause_do_not_return_in_one_burst():
+    # Guards against a target that gets all requests that waited for it at the same moment.
+    gateway = unittest.mock.MagicMock(rng=random.Random(1))
+    request = unittest.mock.MagicMock(**{"remaining_s.return_value": 3.0})
+    request.route.objective_s = 0.5
+    now, left_s = clock.now(), 0.1
+    target = unittest.mock.MagicMock(paused_until=now + left_s)
+    sleep = unittest.mock.AsyncMock()
+
+    async def wait():
+        return [await pauses.wait_for_end(gateway, request, [target]) for _ in range(60)]
+
+    with unittest.mock.patch.object(pauses, "asyncio", unittest.mock.MagicMock(sleep=sleep)):
+        with unittest.mock.patch.object(clock, "now", return_value=now):
+            assert set(asyncio.run(wait())) == {0.0}
+    waits = sorted(call.args[0] for call in sleep.await_args_list)
+    max_wait_s = pauses.WAIT_SHARE * request.route.objective_s
+    assert waits[0] >= left_s - 1e-6 and waits[-1] <= max_wait_s
+    # At most half of them return within a quarter of the time that they have.
+    window_s = (max_wait_s - left_s) / 4
+    assert max(sum(at <= each < at + window_s for each in waits) for at in waits) <= 30
+
+
 def test_a_new_start_of_a_target_ends_its_pause(tmp_path):
     # Guards against a restarted target that gets no requests because of its earlier start.
     async def scenario(fixture):
