Send no stream to an engine that refused while its channel was opened

What engines saw: streams whose channels were opened when the engine asked for a pause still arrived in that pause. What operators saw: an engine that had said that it leaves at that moment was reported as lost to all gateways, although nothing had failed.

Cause: calls look at the target once more when the channel is there, streams looked at its leaving only, and took the result for a target that cannot be reached.

Why this fix works: the check after the channel is opened is that of calls, and its result leads to another selection, in which such an engine is not a candidate.

--- a/chiveswitch/forwarding/pauses_test.py
+++ b/chiveswitch/forwarding/pauses_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from chiveswitch.core import clock
-from chiveswitch.forwarding import forwarder_test, pauses
+from chiveswitch.forwarding import forwarder_test, pauses, pool
 from features import platform_standins
 
 # Time after a refusal from which on the pause must hold, in seconds, and the number of requests
@@ -101,6 +101,42 @@
     assert max(sum(at <= each < at + window_s for each in waits) for at in waits) <= 30
 
 
+@pytest.mark.parametrize("change", ["pause", "leave"])
+def test_a_stream_is_not_sent_to_an_engine_that_refused_while_its_channel_was_opened(
+    tmp_path, change
+):
+    # Guards against streams that reach an engine in its pause, and against taking an engine for
+    # lost that asks for a pause or leaves, because their channels were opened before.
+    opened, may_go_on = [], asyncio.Event()
+    acquire = pool.ChannelPool.acquire
+
+    async def acquire_late(self, target_id, *details):
+        channel = await acquire(self, target_id, *details)
+        if target_id == "w0" and details[-1] != "first":
+            opened.append(channel)
+            await may_go_on.wait()
+        return channel
+
+    async def scenario(fixture):
+        refusing = await add_refusing(fixture, "w0", "engines", "20")
+        if change == "leave":
+            refusing.retry_after_values, refusing.leaving_values = [], ["1"]
+        waiting = [
+            asyncio.ensure_future(forwarder_test.stream(fixture, f"r{number}"))
+            for number in range(5)
+        ]
+        await platform_standins.wait_until(lambda: len(opened) == len(waiting))
+        assert (await forwarder_test.stream(fixture, "first")).status == 503
+        await fixture.add("w1", "engines", "b")
+        may_go_on.set()
+        assert {answer.status for answer in await asyncio.gather(*waiting)} == {200}
+        assert len(refusing.arrivals) == 1
+        assert not fixture.table.find("w0").is_lost(clock.now())
+
+    with unittest.mock.patch.object(pool.ChannelPool, "acquire", acquire_late):
+        forwarder_test.run(scenario, tmp_path)
+
+
 def test_a_new_start_of_a_target_ends_its_pause(tmp_path):
     # Guards against a restarted target that gets no requests because of its earlier start.
     async def scenario(fixture):
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -372,6 +372,11 @@
         since_first = self.delivered_at - self.admitted.request.received_at - self.first_event_s
         return max(0.0, events_left) * since_first / (self.delivered_count - 1)
 
+    def is_unwanted_at(self, target) -> bool:
+        """Returns whether a target leaves or has asked this gateway for a pause."""
+        table = self.forwarder.target_table
+        return table.is_draining_or_gone(target.target_id) or pauses.is_paused(target)
+
     async def open_channel(self, target, from_copy) -> channels.Channel | None:
         """Connects to a target and sends the request.
 
@@ -380,8 +385,8 @@
             from_copy: Whether the target continues the run from its copy.
 
         Returns:
-            The channel, or None if the target cannot be reached or is draining, or the process
-            stops.
+            The channel, or None if the target cannot be reached or wants no requests, or the
+            process stops.
         """
         forwarder, admitted = self.forwarder, self.admitted
         channel = await forwarder.pool.acquire(
@@ -392,8 +397,7 @@
             admitted.caller.request_id,
         )
         is_refused = not admitted.may_have_run and forwarder.must_refuse(admitted)
-        is_leaving = forwarder.target_table.is_draining_or_gone(target.target_id)
-        if channel is None or is_leaving or is_refused:
+        if channel is None or is_refused or self.is_unwanted_at(target):
             if channel is not None:
                 channel.abort()
             return None
@@ -728,6 +732,9 @@
         channel = await stream.open_channel(target, from_copy)
         if channel is None and not admitted.may_have_run and forwarder.must_refuse(admitted):
             continue
+        # The target may have begun to drain, or asked for a pause, while the channel was opened.
+        if channel is None and stream.is_unwanted_at(target):
+            continue
         if channel is None:
             forwarder.target_table.record_loss(target, clock.now())
             stream.excluded_ids.add(target.target_id)
