Log how pauses of targets end, and count what they move

What operators saw: a target's pause was logged when it began or was extended, never when it ended, so that nobody could tell a pause that had passed from one that a restart had ended; how many requests went elsewhere or waited, and how many targets were in a pause or leaving, could only be counted from the log.

The line pause_ended, the counters pauses_moved and pauses_waited and the gauges targets_paused and targets_draining say it, one value each for a node.

Evidence: without the change the two new tests fail, and so do the added checks of test_a_call_waits_for_the_end_of_a_short_pause, test_the_whole_path and test_a_target_that_says_that_it_leaves_gets_no_further_calls.

--- a/chiveswitch/core/target_table.py
+++ b/chiveswitch/core/target_table.py
@@ -405,6 +405,10 @@
             self.on_draining_or_gone(target.target_id)
         return True
 
+    def count_draining(self) -> int:
+        """Returns the number of targets that announced, or said in a response, that they leave."""
+        return sum(target.report.state == DRAINING for target in self.target_by_id.values())
+
     def record_loss(self, target: Target, now: float):
         """Avoids a target that failed during a request or could not be reached; calls `on_lost`.
 
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -106,6 +106,7 @@
             reason = f"{target.target_id} {outcome.reason}"
             if rejection_count >= MAX_REJECTIONS or not forwarder.try_spend_retry(admitted):
                 break
+            pauses.record_move(forwarder, target)
             continue
         run_count += 1
         response = outcome.response
--- a/chiveswitch/forwarding/leaving_test.py
+++ b/chiveswitch/forwarding/leaving_test.py
@@ -28,6 +28,7 @@
         leaving, staying = await add_pair(fixture, "plain")
         leaving.behaviour = behaviour
         await forwarder_test.call(fixture, "first")
+        assert fixture.table.count_draining() == 1
         fixture.announce(staying, "plain", "b", 1)
         for number in range(20):
             fixture.announce(leaving, "plain", "a", 2 + number)
--- a/chiveswitch/forwarding/pauses.py
+++ b/chiveswitch/forwarding/pauses.py
@@ -47,6 +47,21 @@
         left_before=max(0.0, left_s),
         open=target.open_requests,
     )
+    until = target.paused_until
+    asyncio.get_running_loop().call_later(until - now, _log_end, forwarder, target, until)
+
+
+def _log_end(forwarder, target, until: float):
+    # A later refusal has extended the pause.
+    if target.paused_until != until:
+        return
+    is_same_start = forwarder.target_table.find(target.target_id) is target
+    forwarder.log.line(
+        "gateway",
+        "pause_ended",
+        target=target.target_id,
+        reason="elapsed" if is_same_start else "restarted or gone",
+    )
 
 
 def is_paused(target) -> bool:
@@ -59,6 +74,17 @@
     return [target for target in targets if not is_paused(target)]
 
 
+def count_paused(table) -> int:
+    """Returns the number of targets of a `target_table.TargetTable` that are in a pause."""
+    return sum(is_paused(target) for target in table.target_by_id.values())
+
+
+def record_move(forwarder, target):
+    """Counts a request that goes to another target because the last one has asked for a pause."""
+    if is_paused(target):
+        forwarder.metrics.count("pauses_moved")
+
+
 async def wait_for_end(forwarder, admitted, targets: list) -> float:
     """Waits until the first pause ends if all targets are in one and it ends soon.
 
@@ -75,6 +101,7 @@
     left_s = max(0.0, min(target.paused_until for target in targets) - clock.now())
     max_wait_s = WAIT_SHARE * min(admitted.route.objective_s, admitted.remaining_s())
     if left_s <= max_wait_s:
+        forwarder.metrics.count("pauses_waited")
         spread_s = min(RETURN_SPREAD_SECONDS, max_wait_s - left_s)
         await asyncio.sleep(left_s + spread_s * forwarder.rng.random())
         return 0.0
--- a/chiveswitch/forwarding/pauses_test.py
+++ b/chiveswitch/forwarding/pauses_test.py
@@ -74,6 +74,7 @@
         await platform_standins.wait_until(lambda: worker.rejected_request_ids)
         worker.behaviour = "answer"
         assert (await first).status == 200
+        assert fixture.gateway.metrics.count_by_name["pauses_waited"] == 1
 
     forwarder_test.run(scenario, tmp_path)
 
@@ -193,3 +194,38 @@
         assert len(worker.arrivals) == 1
 
     forwarder_test.run(scenario, tmp_path)
+
+
+def test_the_course_of_a_pause_is_logged_once_and_counted(tmp_path):
+    # Guards against an operator who cannot tell how a pause ended and which requests it moved.
+    async def scenario(fixture):
+        refusing = await add_refusing(fixture, "w0", "plain", "0.2")
+        await fixture.add("w1", "plain", "b")
+        counts = fixture.gateway.metrics.count_by_name
+        number = 0
+        while not refusing.arrivals:
+            number += 1
+            assert (await forwarder_test.call(fixture, f"r{number}")).status == 200
+        assert pauses.count_paused(fixture.table) == 1
+        assert counts["pauses_moved"] == 1 and "pauses_waited" not in counts
+        pauses.record(fixture.gateway, fixture.table.find("w0"), 0.4)
+        await platform_standins.wait_until(lambda: not pauses.count_paused(fixture.table))
+        await asyncio.sleep(0.05)
+
+    log = forwarder_test.run(scenario, tmp_path)
+    assert log.count("gateway: target_paused") == 2
+    assert log.count("gateway: pause_ended") == 1 and "reason=elapsed" in log
+
+
+def test_a_pause_that_a_new_start_ended_is_logged_as_such(tmp_path):
+    # Guards against an operator who takes a restart for the end of the time that was asked for.
+    async def scenario(fixture):
+        worker = await add_refusing(fixture, "w0", "plain", "0.3")
+        await forwarder_test.call(fixture, "first")
+        worker.born_ms += 1
+        fixture.announce(worker, "plain", "a", 1)
+        assert pauses.count_paused(fixture.table) == 0
+        await asyncio.sleep(0.4)
+
+    log = forwarder_test.run(scenario, tmp_path)
+    assert log.count("pause_ended") == 1 and 'reason="restarted or gone"' in log
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -797,6 +797,8 @@
         if not forwarder.try_spend_retry(admitted, from_copy or stream.resumes_from_copy):
             reason = f"{reason}; the retry budget is spent"
             break
+        if end == AttemptEnd.REJECTED:
+            pauses.record_move(forwarder, target)
     if admitted.responder.has_begun:
         forwarder.metrics.count("streams_cut")
         forwarder.log.line(
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -29,7 +29,7 @@
     routing,
     target_table,
 )
-from chiveswitch.forwarding import calls, forwarder, http_server, streams
+from chiveswitch.forwarding import calls, forwarder, http_server, pauses, streams
 from chiveswitch.peers import (
     control_client,
     control_server,
@@ -423,6 +423,8 @@
         gauges = self.metrics.gauge_by_name
         gauges["bundle_version"] = lambda: self.view.published.version
         gauges["targets"] = lambda: len(self.table.target_by_id)
+        gauges["targets_draining"] = self.table.count_draining
+        gauges["targets_paused"] = lambda: pauses.count_paused(self.table)
         gauges["channels_opened"] = lambda: self.forwarder.pool.opened_count
         budget = self.forwarder.pool.pacer.budget
         gauges["response_bytes_held"] = lambda: budget.held_bytes
--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -399,6 +399,8 @@
         )
         assert b"chiveswitch_bundle_version 8" in metrics.body
         assert b"chiveswitch_request_unrepeatable_seconds" in metrics.body
+        assert b"chiveswitch_targets_paused 0" in metrics.body
+        assert b"chiveswitch_targets_draining 0" in metrics.body
 
     run_with_cluster(tmp_path, scenario)
 
