--- a/chiveswitch/forwarding/pauses.py
+++ b/chiveswitch/forwarding/pauses.py
@@ -15,7 +15,8 @@
 RETURN_SHARE = 0.1
 MAX_RETURN_DELAY_SECONDS = 1.0
 # Time in seconds over which the callers of one priority are told to return after the end of a
-# pause; callers of the next priority return after them.
+# pause, and over which requests that wait for the end return; callers of the next priority return
+# after them.
 RETURN_SPREAD_SECONDS = 0.2
 # Share of the latency objective, and of the remaining time, for which a request waits for the end
 # of a pause.
@@ -46,6 +47,21 @@
         left_before=max(0.0, left_s),
         open=target.open_requests,
     )
+    until = target.paused_until
+    asyncio.get_running_loop().call_later(until - now, _log_end, forwarder, target, until)
+
+
+def _log_end(forwarder, target, until: float):
+    # A later refusal has extended the pause.
+    if target.paused_until != until:
+        return
+    is_same_start = forwarder.target_table.find(target.target_id) is target
+    forwarder.log.line(
+        "gateway",
+        "pause_ended",
+        target=target.target_id,
+        reason="elapsed" if is_same_start else "restarted or gone",
+    )
 
 
 def is_paused(target) -> bool:
@@ -58,6 +74,17 @@
     return [target for target in targets if not is_paused(target)]
 
 
+def count_paused(table) -> int:
+    """Returns the number of targets of a `target_table.TargetTable` that are in a pause."""
+    return sum(is_paused(target) for target in table.target_by_id.values())
+
+
+def record_move(forwarder, target):
+    """Counts a request that goes to another target because the last one has asked for a pause."""
+    if is_paused(target):
+        forwarder.metrics.count("pauses_moved")
+
+
 async def wait_for_end(forwarder, admitted, targets: list) -> float:
     """Waits until the first pause ends if all targets are in one and it ends soon.
 
@@ -71,8 +98,11 @@
     """
     if not targets or without_pause(targets):
         return 0.0
-    left_s = min(target.paused_until for target in targets) - clock.now()
-    if left_s <= WAIT_SHARE * min(admitted.route.objective_s, admitted.remaining_s()):
-        await asyncio.sleep(max(0.0, left_s))
+    left_s = max(0.0, min(target.paused_until for target in targets) - clock.now())
+    max_wait_s = WAIT_SHARE * min(admitted.route.objective_s, admitted.remaining_s())
+    if left_s <= max_wait_s:
+        forwarder.metrics.count("pauses_waited")
+        spread_s = min(RETURN_SPREAD_SECONDS, max_wait_s - left_s)
+        await asyncio.sleep(left_s + spread_s * forwarder.rng.random())
         return 0.0
     return left_s + RETURN_SPREAD_SECONDS * (admitted.priority + forwarder.rng.random())
--- a/chiveswitch/forwarding/pauses_test.py
+++ b/chiveswitch/forwarding/pauses_test.py
@@ -1,11 +1,13 @@
 """Tests of calls and streams to targets that ask for a pause when they refuse a request."""
 
 import asyncio
+import random
+import unittest.mock
 
 import pytest
 
 from chiveswitch.core import clock
-from chiveswitch.forwarding import forwarder_test, pauses
+from chiveswitch.forwarding import forwarder_test, pauses, pool
 from features import platform_standins
 
 # Time after a refusal from which on the pause must hold, in seconds, and the number of requests
@@ -72,10 +74,70 @@
         await platform_standins.wait_until(lambda: worker.rejected_request_ids)
         worker.behaviour = "answer"
         assert (await first).status == 200
+        assert fixture.gateway.metrics.count_by_name["pauses_waited"] == 1
 
     forwarder_test.run(scenario, tmp_path)
 
 
+def test_requests_that_wait_for_the_end_of_a_pause_do_not_return_in_one_burst():
+    # Guards against a target that gets all requests that waited for it at the same moment.
+    gateway = unittest.mock.MagicMock(rng=random.Random(1))
+    request = unittest.mock.MagicMock(**{"remaining_s.return_value": 3.0})
+    request.route.objective_s = 0.5
+    now, left_s = clock.now(), 0.1
+    target = unittest.mock.MagicMock(paused_until=now + left_s)
+    sleep = unittest.mock.AsyncMock()
+
+    async def wait():
+        return [await pauses.wait_for_end(gateway, request, [target]) for _ in range(60)]
+
+    with unittest.mock.patch.object(pauses, "asyncio", unittest.mock.MagicMock(sleep=sleep)):
+        with unittest.mock.patch.object(clock, "now", return_value=now):
+            assert set(asyncio.run(wait())) == {0.0}
+    waits = sorted(call.args[0] for call in sleep.await_args_list)
+    max_wait_s = pauses.WAIT_SHARE * request.route.objective_s
+    assert waits[0] >= left_s - 1e-6 and waits[-1] <= max_wait_s
+    # At most half of them return within a quarter of the time that they have.
+    window_s = (max_wait_s - left_s) / 4
+    assert max(sum(at <= each < at + window_s for each in waits) for at in waits) <= 30
+
+
+@pytest.mark.parametrize("change", ["pause", "leave"])
+def test_a_stream_is_not_sent_to_an_engine_that_refused_while_its_channel_was_opened(
+    tmp_path, change
+):
+    # Guards against streams that reach an engine in its pause, and against taking an engine for
+    # lost that asks for a pause or leaves, because their channels were opened before.
+    opened, may_go_on = [], asyncio.Event()
+    acquire = pool.ChannelPool.acquire
+
+    async def acquire_late(self, target_id, *details):
+        channel = await acquire(self, target_id, *details)
+        if target_id == "w0" and details[-1] != "first":
+            opened.append(channel)
+            await may_go_on.wait()
+        return channel
+
+    async def scenario(fixture):
+        refusing = await add_refusing(fixture, "w0", "engines", "20")
+        if change == "leave":
+            refusing.retry_after_values, refusing.leaving_values = [], ["1"]
+        waiting = [
+            asyncio.ensure_future(forwarder_test.stream(fixture, f"r{number}"))
+            for number in range(5)
+        ]
+        await platform_standins.wait_until(lambda: len(opened) == len(waiting))
+        assert (await forwarder_test.stream(fixture, "first")).status == 503
+        await fixture.add("w1", "engines", "b")
+        may_go_on.set()
+        assert {answer.status for answer in await asyncio.gather(*waiting)} == {200}
+        assert len(refusing.arrivals) == 1
+        assert not fixture.table.find("w0").is_lost(clock.now())
+
+    with unittest.mock.patch.object(pool.ChannelPool, "acquire", acquire_late):
+        forwarder_test.run(scenario, tmp_path)
+
+
 def test_a_new_start_of_a_target_ends_its_pause(tmp_path):
     # Guards against a restarted target that gets no requests because of its earlier start.
     async def scenario(fixture):
@@ -132,3 +194,38 @@
         assert len(worker.arrivals) == 1
 
     forwarder_test.run(scenario, tmp_path)
+
+
+def test_the_course_of_a_pause_is_logged_once_and_counted(tmp_path):
+    # Guards against an operator who cannot tell how a pause ended and which requests it moved.
+    async def scenario(fixture):
+        refusing = await add_refusing(fixture, "w0", "plain", "0.2")
+        await fixture.add("w1", "plain", "b")
+        counts = fixture.gateway.metrics.count_by_name
+        number = 0
+        while not refusing.arrivals:
+            number += 1
+            assert (await forwarder_test.call(fixture, f"r{number}")).status == 200
+        assert pauses.count_paused(fixture.table) == 1
+        assert counts["pauses_moved"] == 1 and "pauses_waited" not in counts
+        pauses.record(fixture.gateway, fixture.table.find("w0"), 0.4)
+        await platform_standins.wait_until(lambda: not pauses.count_paused(fixture.table))
+        await asyncio.sleep(0.05)
+
+    log = forwarder_test.run(scenario, tmp_path)
+    assert log.count("gateway: target_paused") == 2
+    assert log.count("gateway: pause_ended") == 1 and "reason=elapsed" in log
+
+
+def test_a_pause_that_a_new_start_ended_is_logged_as_such(tmp_path):
+    # Guards against an operator who takes a restart for the end of the time that was asked for.
+    async def scenario(fixture):
+        worker = await add_refusing(fixture, "w0", "plain", "0.3")
+        await forwarder_test.call(fixture, "first")
+        worker.born_ms += 1
+        fixture.announce(worker, "plain", "a", 1)
+        assert pauses.count_paused(fixture.table) == 0
+        await asyncio.sleep(0.4)
+
+    log = forwarder_test.run(scenario, tmp_path)
+    assert log.count("pause_ended") == 1 and 'reason="restarted or gone"' in log
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -374,6 +374,11 @@
         since_first = self.delivered_at - self.admitted.request.received_at - self.first_event_s
         return max(0.0, events_left) * since_first / (self.delivered_count - 1)
 
+    def is_unwanted_at(self, target) -> bool:
+        """Returns whether a target leaves or has asked this gateway for a pause."""
+        table = self.forwarder.target_table
+        return table.is_draining_or_gone(target.target_id) or pauses.is_paused(target)
+
     async def open_channel(self, target, from_copy) -> channels.Channel | None:
         """Connects to a target and sends the request.
 
@@ -382,8 +387,8 @@
             from_copy: Whether the target continues the run from its copy.
 
         Returns:
-            The channel, or None if the target cannot be reached or is draining, or the process
-            stops.
+            The channel, or None if the target cannot be reached or wants no requests, or the
+            process stops.
         """
         forwarder, admitted = self.forwarder, self.admitted
         channel = await forwarder.pool.acquire(
@@ -394,8 +399,7 @@
             admitted.caller.request_id,
         )
         is_refused = not admitted.may_have_run and forwarder.must_refuse(admitted)
-        is_leaving = forwarder.target_table.is_draining_or_gone(target.target_id)
-        if channel is None or is_leaving or is_refused:
+        if channel is None or is_refused or self.is_unwanted_at(target):
             if channel is not None:
                 channel.abort()
             return None
@@ -738,6 +742,9 @@
         channel = await stream.open_channel(target, from_copy)
         if channel is None and not admitted.may_have_run and forwarder.must_refuse(admitted):
             continue
+        # The target may have begun to drain, or asked for a pause, while the channel was opened.
+        if channel is None and stream.is_unwanted_at(target):
+            continue
         if channel is None:
             forwarder.target_table.record_loss(target, clock.now())
             stream.excluded_ids.add(target.target_id)
@@ -802,6 +809,8 @@
         if not forwarder.try_spend_retry(admitted, from_copy or stream.resumes_from_copy):
             reason = f"{reason}; the retry budget is spent"
             break
+        if end == AttemptEnd.REJECTED:
+            pauses.record_move(forwarder, target)
     if admitted.responder.has_begun:
         forwarder.metrics.count("streams_cut")
         forwarder.log.line(
