Give each process that chooses ports blocks of ports of its own

Processes that run tests at the same time chose ports one after the other from a random start each in one shared range. A port that one of them has chosen but not bound yet, or that it needs to stay unused, is free to the others' probe. No collision was seen; the ranges of six processes that take 120 ports each overlap in about one run in five by the arithmetic of random starts.

A process now claims blocks of 250 ports. It binds the first port of a block until it ends, so that the kernel decides which process gets the block and frees it whatever way the process ends.

--- a/chiveswitch/tools/processes.py
+++ b/chiveswitch/tools/processes.py
@@ -3,7 +3,8 @@
 Only tools and tests that drive a run use this module; daemons start no other processes.
 """
 
-import itertools
+import atexit
+import errno
 import os
 import random
 import signal
@@ -15,13 +16,66 @@
 # between its choice and the start of the process that is to listen on it.
 FIRST_PORT = 15_000
 LAST_PORT = 31_000
-_next_port = itertools.count(random.SystemRandom().randrange(FIRST_PORT, LAST_PORT))
+# A process takes its ports from blocks that no other process takes ports from at the same time.
+BLOCK_PORTS = 250
+
+
+class PortBlocks:
+    """Hands out ports of blocks that belong to this process until it ends.
+
+    Several test runs, or workers of one run, choose ports at the same time on one machine. A port
+    that is chosen but not bound yet, or that must stay unused, seems free to the others.
+
+    Args:
+        rng: Chooses the first block to try.
+    """
+
+    def __init__(self, rng: random.Random):
+        starts = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+        first = rng.randrange(len(starts))
+        self._starts = iter(starts[first:] + starts[:first])
+        self._guards = []
+        self._ports = iter(())
+
+    def next_port(self) -> int:
+        """Returns a port that was not returned before; claims another block if necessary.
+
+        Raises:
+            OSError: All blocks belong to this or other processes.
+        """
+        port = next(self._ports, None)
+        while port is None:
+            start = next(self._starts, None)
+            if start is None:
+                raise OSError(errno.EADDRINUSE, "no block of free ports is left")
+            guard = socket.socket()
+            try:
+                # The kernel gives the block's first port to one process and frees it at its end.
+                guard.bind(("127.0.0.1", start))
+            except OSError:
+                guard.close()
+                continue
+            self._guards.append(guard)
+            self._ports = iter(range(start + 1, min(start + BLOCK_PORTS, LAST_PORT)))
+            port = next(self._ports)
+        return port
+
+    def close(self):
+        """Gives the blocks back."""
+        for guard in self._guards:
+            guard.close()
+        self._guards.clear()
+        self._ports = iter(())
+
+
+_blocks = PortBlocks(random.SystemRandom())
+atexit.register(_blocks.close)
 
 
 def free_port() -> int:
     """Returns a TCP port of the loopback address that is free now and was not returned before."""
-    for number in _next_port:
-        port = FIRST_PORT + number % (LAST_PORT - FIRST_PORT)
+    while True:
+        port = _blocks.next_port()
         with socket.socket() as probe:
             # Without this option, connections of an earlier run in TIME_WAIT would make the port
             # seem taken, although a listener can use it.
--- a/chiveswitch/tools/processes_test.py
+++ b/chiveswitch/tools/processes_test.py
@@ -100,3 +100,27 @@
         assert answer.complete, answer.failure
         assert answer.errors == []
         assert answer.tokens == expected_tokens(answer.seed, f"survey {index}", TOKENS)
+
+
+def test_processes_that_run_at_the_same_time_choose_different_ports():
+    # Guards against two workers of a test run that choose the same port, one of which has not bound
+    # it yet or needs it to stay unused.
+    count = 2 * processes.BLOCK_PORTS
+    # Every source tries the same block first.
+    sources = [processes.PortBlocks(random.Random(1)) for _ in range(3)]
+    try:
+        ports = [source.next_port() for _ in range(count) for source in sources]
+    finally:
+        for source in sources:
+            source.close()
+    assert len(set(ports)) == len(ports) == 3 * count
+    assert min(ports) >= processes.FIRST_PORT and max(ports) < processes.LAST_PORT
+
+
+def test_ports_run_out_with_an_error(monkeypatch):
+    monkeypatch.setattr(processes, "LAST_PORT", processes.FIRST_PORT + processes.BLOCK_PORTS)
+    source = processes.PortBlocks(random.Random(1))
+    with pytest.raises(OSError):
+        for _ in range(processes.BLOCK_PORTS):
+            source.next_port()
+    source.close()
