Let the tests run in several processes on demand

`make test` waits more than it computes. `make test TEST_WORKERS=auto` spreads the tests with pytest-xdist over one process for each processor, six at most; without it, and with `python -m pytest`, they run in one process as before.

It is not the default, because whole runs have not been shown to agree.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
+# Processes that run the tests: a number, or auto for one a processor; 0 runs them in one process.
+TEST_WORKERS ?= 0
+MAX_TEST_WORKERS := 6
 
 $(VENV)/installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -13,7 +16,7 @@
 install: $(VENV)/installed
 
 test: install
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --maxprocesses $(MAX_TEST_WORKERS) --dist worksteal
 
 lint: install
 	$(BIN)/black --check -q chiveswitch features conftest.py || $(BIN)/black --check chiveswitch features conftest.py
