Let a channel test wait for what its target sends, not for a time

test_bytes_after_the_response_make_the_channel_unusable waited 50 ms for a second response that the target sends 10 ms after the first one. Both run in one event loop: if the process gets no processor for these 40 ms, the test releases the channel before the target has sent, and fails with `(b'ab', True) == (b'ab', False)`.

The assertions are the same.

--- a/chiveswitch/forwarding/channel_test.py
+++ b/chiveswitch/forwarding/channel_test.py
@@ -27,20 +27,26 @@
     """
 
     async def scenario():
+        sent = asyncio.Event()
+
         async def serve(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            for piece in pieces:
-                writer.write(piece)
-                await writer.drain()
-                await asyncio.sleep(0.01)
-            if keep:
-                await asyncio.sleep(60)
-            if reset:
-                # With a linger time of 0, closing the socket sends a reset.
-                sock = writer.get_extra_info("socket")
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                writer.transport.abort()
-            writer.close()
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                for piece in pieces:
+                    writer.write(piece)
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+                if keep:
+                    sent.set()
+                    await asyncio.sleep(60)
+                if reset:
+                    # With a linger time of 0, closing the socket sends a reset.
+                    sock = writer.get_extra_info("socket")
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    writer.transport.abort()
+            finally:
+                writer.close()
+                sent.set()
 
         address = f"127.0.0.1:{processes.free_port()}"
         host, _, port = address.rpartition(":")
@@ -48,6 +54,7 @@
         channel = await channels.connect(address, "t", 2.0, read_pacer.ReadPacer())
         channel.send(b"GET / HTTP/1.1\r\n\r\n", ("x-request-id", "mine"))
         response = await channel.read_response(clock.now() + 1.0)
+        await sent.wait()
         await asyncio.sleep(0.05)
         usable = channel.release()
         server.close()
