Close the connections that tests left open

Connections that are still open when their event loop ends are closed by a finalizer, which raises "Event loop is closed"; CPython 3.11.6 can crash with SystemError from there. A probe that lists the open transports at the end of each event loop found them in channel_test, client_test, links_test, silent_connections_test and control_test: handlers that sleep until the loop ends, relays whose task is cancelled, callers that were never closed, and connections that a proxy silenced and then forgot, so that its stop did not reset them.

--- a/chiveswitch/forwarding/channel_test.py
+++ b/chiveswitch/forwarding/channel_test.py
@@ -1,6 +1,7 @@
 """Tests of channels to targets: stray, truncated, malformed and late responses."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -28,6 +29,8 @@
 
     async def scenario():
         sent = asyncio.Event()
+        done = asyncio.Event()
+        closed = asyncio.Event()
 
         async def serve(reader, writer):
             try:
@@ -38,7 +41,7 @@
                     await asyncio.sleep(0.01)
                 if keep:
                     sent.set()
-                    await asyncio.sleep(60)
+                    await done.wait()
                 if reset:
                     # With a linger time of 0, closing the socket sends a reset.
                     sock = writer.get_extra_info("socket")
@@ -47,6 +50,7 @@
             finally:
                 writer.close()
                 sent.set()
+                closed.set()
 
         address = f"127.0.0.1:{processes.free_port()}"
         host, _, port = address.rpartition(":")
@@ -57,6 +61,9 @@
         await sent.wait()
         await asyncio.sleep(0.05)
         usable = channel.release()
+        channel.abort()
+        done.set()
+        await closed.wait()
         server.close()
         return response, usable, channel
 
@@ -115,9 +122,14 @@
     # Guards against sending an unrepeatable request on a connection that the target is closing,
     # because it would be unknown whether the request ran.
     async def scenario():
+        tasks = []
+
         async def serve(reader, writer):
-            while await reader.readuntil(b"\r\n\r\n"):
-                writer.write(HEAD + b"Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n")
+            tasks.append(asyncio.current_task())
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionResetError):
+                while await reader.readuntil(b"\r\n\r\n"):
+                    writer.write(HEAD + b"Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
 
         address = f"127.0.0.1:{processes.free_port()}"
         host, _, port = address.rpartition(":")
@@ -133,8 +145,10 @@
         second = await channel_pool.acquire("t", address, True, 1.0, "r")
         assert second is not first
         assert await channel_pool.acquire("t", address, False, 1.0, "r") is first
+        first.abort()
         second.abort()
         server.close()
+        await asyncio.gather(*tasks)
 
     asyncio.run(scenario())
 
--- a/chiveswitch/operators/client_test.py
+++ b/chiveswitch/operators/client_test.py
@@ -30,6 +30,12 @@
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
     async def serve(self, reader, writer):
+        try:
+            await self.forward(reader, writer)
+        finally:
+            writer.close()
+
+    async def forward(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
         self.requests += 1
         length = 0
@@ -39,14 +45,15 @@
         body = await reader.readexactly(length)
         host, _, port = self.target.rpartition(":")
         server_reader, server_writer = await asyncio.open_connection(host, int(port))
-        server_writer.write(head + body)
-        response = await server_reader.read(65536)
+        try:
+            server_writer.write(head + body)
+            response = await server_reader.read(65536)
+        finally:
+            server_writer.close()
         if self.responses_to_lose:
             self.responses_to_lose -= 1
         else:
             writer.write(response)
-        server_writer.close()
-        writer.close()
 
 
 def write(system, operator_client, version=1, operation_id="w"):
@@ -60,8 +67,13 @@
     client must also keep trying while the follower knows no leader.
     """
 
-    async def wait_without_response(_reader, _writer):
-        await asyncio.sleep(20)
+    silent_tasks = []
+    done = asyncio.Event()
+
+    async def wait_without_response(_reader, writer):
+        silent_tasks.append(asyncio.current_task())
+        await done.wait()
+        writer.close()
 
     server = system.background.run(asyncio.start_server(wait_without_response, "127.0.0.1", 0))
     silent_address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
@@ -76,6 +88,13 @@
     assert write(system, operator_client).ok["result"] == "written"
     assert not follower.proposed and len(follower.read_results) < 9
 
+    async def close_connections():
+        server.close()
+        done.set()
+        await asyncio.gather(*silent_tasks)
+
+    system.background.run(close_connections())
+
 
 @pytest.mark.parametrize("losses", [1, 2])
 def test_resend_after_lost_responses_makes_one_change(system, losses):
--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -69,11 +69,16 @@
     async def scenario():
         port = processes.free_port()
         silent = True
+        closing = asyncio.Event()
+        silent_tasks = []
         server = links.Server({KIND: lambda payload, trace: expression.Ok(b"ok")})
 
         async def accept(reader, writer):
             if silent:
-                await asyncio.sleep(30)
+                silent_tasks.append(asyncio.current_task())
+                await closing.wait()
+                writer.close()
+                return
             await server._serve_connection(reader, writer)
 
         listener = await asyncio.start_server(accept, "127.0.0.1", port)
@@ -83,6 +88,8 @@
         answer = await call_until_ok(link, b"")
         await link.close()
         listener.close()
+        closing.set()
+        await asyncio.gather(*silent_tasks)
         return first.error.code, answer
 
     first, answer = run(scenario())
--- a/chiveswitch/tools/control_test.py
+++ b/chiveswitch/tools/control_test.py
@@ -328,6 +328,8 @@
         task.cancel()
         for number in range(3):
             cell.fleet.kill(f"g{number}")
+        await asyncio.wait([task])
+        await caller.close()
         # These gateways start after all journal holders are gone, so that they have no journal.
         second = [start_gateway(cell, f"h{n}", sample.ZONES[n]) for n in range(3)]
         cell.fleet.kill("e0")
@@ -351,6 +353,7 @@
         assert answer.errors == []
         assert answer.tokens == processes_test.expected_tokens(answer.seed, "survey", 60)
         assert answer.generation.startswith("2.")
+        await caller.close()
         await client.close()
 
     asyncio.run(scenario())
--- a/features/proxies.py
+++ b/features/proxies.py
@@ -61,7 +61,9 @@
             self._pump(connection, reader, target_writer, False),
             self._pump(connection, target_reader, writer, True),
         )
-        self._connections.discard(connection)
+        # Both writers of a silenced connection are still open.
+        if not connection.silent:
+            self._connections.discard(connection)
 
     async def _pump(self, connection, reader, writer, from_target):
         with contextlib.suppress(OSError):
