Close the callers and the silent server of two tests

The answers of processes_test were read by callers whose connections stayed open until the event loop ended, 8 to 11 of them for each of three cases, and the silent server of rollout_test never closed its connection.

--- a/chiveswitch/operators/rollout_test.py
+++ b/chiveswitch/operators/rollout_test.py
@@ -76,10 +76,21 @@
 def test_a_silent_gateway_does_not_extend_the_timeout(background):
     """Guards against a wait beyond the timeout for a connection without a response."""
 
-    async def wait_without_response(_reader, _writer):
-        await asyncio.sleep(20)
+    silent_tasks = []
+    done = asyncio.Event()
+
+    async def wait_without_response(_reader, writer):
+        silent_tasks.append(asyncio.current_task())
+        await done.wait()
+        writer.close()
+
+    async def close_connections():
+        server.close()
+        done.set()
+        await asyncio.gather(*silent_tasks)
 
     server = background.run(asyncio.start_server(wait_without_response, "127.0.0.1", 0))
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     progress = wait(background, address, timeout_s=0.3)
     assert list(progress.unconfirmed) == [address] and progress.seconds < 2
+    background.run(close_connections())
--- a/chiveswitch/tools/processes_test.py
+++ b/chiveswitch/tools/processes_test.py
@@ -79,7 +79,10 @@
     waiting = asyncio.ensure_future(begun.wait())
     await asyncio.wait([waiting, *tasks], return_when=asyncio.FIRST_COMPLETED)
     fault()
-    return await asyncio.gather(*tasks)
+    answers = await asyncio.gather(*tasks)
+    for caller in callers:
+        await caller.close()
+    return answers
 
 
 @pytest.mark.processes
