--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -317,12 +317,22 @@
 
 
 def run_with_cluster(
-    tmp_path, scenario, disks=3, others=1, environment=None, uncounted=frozenset()
+    tmp_path,
+    scenario,
+    disks=3,
+    others=1,
+    environment=None,
+    uncounted=frozenset(),
+    prepare=None,
 ):
+    """Runs a scenario with a cluster and workers; `prepare` gets the cluster before its start."""
+
     async def with_cluster():
         cluster = Cluster(tmp_path, disks, others, environment, uncounted)
         fleet = WorkerFleet(cluster)
         try:
+            if prepare is not None:
+                await prepare(cluster)
             for number in range(len(cluster.ips)):
                 cluster.start(number, first=True)
             first_answer = await put_config(cluster, 0, platform_standins.make_config(3))
