Disturb connections between nodes, to directories and of operators in the soak

Each ordered pair of nodes now has a proxy. New faults: open connections silent for good (of a pair, of a node, of all, or again and again), cuts of a pair for 0.5 to 8 s in one or both directions, cuts of which one heals while the next lasts, delays, resets; also proxies before the directory and the operator. The old faults stay. Faults and their times no longer depend on what the load draws. `--disks`, `--others` and `--faults` are for runs by hand.

New checks: an order of the operator is acknowledged within `ack-ms` (4 s and 3 ms for each route) of calm, counted from its first sending, and each run ends with such a span; that needs a leader. The directory names nodes of the cluster only.

The checks find the old fault.

--- a/features/soak.py
+++ b/features/soak.py
@@ -1,14 +1,17 @@
 """Randomized soak test of real node processes under overlapping faults.
 
 Run as `python -m features.soak FOLDER SEED [SEED ...]`. Callers and stand-in workers run in this
-process. Nodes reach each worker, and callers reach each node, through a proxy that can delay, reset
-or silence connections, or block their responses. Nodes are killed, paused, stopped and restarted by
-signals; their disks are lost, full or end in a torn write, and their time of day jumps. The checks
-use only what callers and workers saw, and share no code with the product.
+process. Nodes reach each worker and each other, and callers and the operator reach each node,
+through a proxy that can delay, reset or silence connections, block their responses, or be cut.
+Nodes are killed, paused, stopped and restarted by signals; their disks are lost, full or end in a
+torn write, and their time of day jumps. The checks use only what callers and workers saw, and share
+no code with the product.
 """
 
+import argparse
 import asyncio
 import contextlib
+import functools
 import math
 import pathlib
 import random
@@ -21,7 +24,7 @@
 
 from chiveswitch.core import clock
 from chiveswitch.tools import node_stop_test, node_test, processes
-from features import platform_standins, proxies
+from features import link_faults, platform_standins, proxies
 
 DISK_NODES = 3
 DISKLESS_NODES = 2
@@ -35,6 +38,16 @@
 )
 # Time after the last fault within which service must recover, as the users require it.
 RECOVERY_LIMIT_SECONDS = 12.0
+# Time within which a config is acknowledged, and the addition for each of its routes, as the users
+# require it.
+ACKNOWLEDGE_LIMIT_SECONDS = 4.0
+ACKNOWLEDGE_LIMIT_SECONDS_PER_ROUTE = 0.003
+# Time within which an operator waits for an answer, and probability that it sends an order without
+# an answer again, rather than its next one.
+OPERATOR_WAIT_SECONDS = 3.0
+RESEND_PROBABILITY = 0.5
+# Time within which a caller waits for the directory.
+RESOLVE_WAIT_SECONDS = 1.0
 # Time within which an acknowledged config is in force everywhere, as the users require it.
 APPLY_LIMIT_SECONDS = 2.0
 # Time after an acknowledged leave within which a worker may still get work.
@@ -52,9 +65,10 @@
 ASKED_PAUSE_SECONDS = 3.0
 PAUSE_GRACE_SECONDS = 0.5
 PAUSE_REQUESTS = 2
-# Duration of a worker's call in seconds, number of kept connections to each node, and deadline of
-# the calls on them in milliseconds.
+# Duration of a worker's call in seconds, number of nodes with kept connections and of these to each
+# of them, and deadline of the calls on them in milliseconds.
 CALL_SECONDS = 0.1
+KEPT_NODES = 5
 KEPT_CONNECTIONS = 2
 KEPT_CALL_DEADLINE_MS = 3000
 # Time after the end of a process within which a caller sees the end of its connection.
@@ -85,6 +99,12 @@
             a pause.
         leaving_since: (worker, time) since which a worker says in its responses that it leaves.
         worker_disturbances: (worker, start, end) of each disturbance of a worker's connections.
+        waits: (start, end, limit) of each time for which no order of the operator was acknowledged
+            though one was sent, and the time that is permitted when nothing is disturbed.
+        out_of_touch: (node, start, end) of each time for which a node need not keep bounds of time
+            because of its connections to other nodes.
+        other_disturbances: (start, end) of disturbances of the time of day and of the operator's
+            connections.
         disturbances: (node, start, end) of each time for which a node was down or catching up.
         stops: (node, time of the signal, time of the end) of each planned stop.
         kept_callers: (node, `node_stop_test.Caller`) of each caller that uses one node without a
@@ -98,6 +118,9 @@
         self.streams = []
         self.acknowledged = []
         self.reads = []
+        self.waits = []
+        self.out_of_touch = []
+        self.other_disturbances = []
         self.leaves = []
         self.limits = []
         self.pauses = []
@@ -157,12 +180,50 @@
             if due and version < max(due):
                 self.violations.append(f"a read gave version {version} after {max(due)}")
         for left_at, worker_id in self.leaves:
-            late = [at for at in run_times[worker_id] if at > left_at + DRAIN_LIMIT_SECONDS]
+            worker = next(each for each in workers if each.worker_id == worker_id)
+            late = []
+            for (request_id, _), at in zip(worker.runs, run_times[worker_id], strict=True):
+                if at > left_at + DRAIN_LIMIT_SECONDS and not self._is_out_of_touch(request_id, at):
+                    late.append(at)
             if late:
                 self.violations.append(
                     f"{worker_id} got work {late[0] - left_at:.1f} s after it left"
                 )
 
+        self._find_late_acknowledgements()
+
+    def _is_out_of_touch(self, request_id, at):
+        """Returns whether the node that got a request was out of touch at a time."""
+        node = self.node_by_request.get(request_id)
+        return any(
+            each == node and start <= at <= end + TOLERANCE_SECONDS
+            for each, start, end in self.out_of_touch
+        )
+
+    def disturbed_until(self) -> float:
+        """Returns the time from which on nothing is disturbed."""
+        return max((end for _, end in self._all_disturbances()), default=0.0)
+
+    def _all_disturbances(self):
+        times = [(start, end) for _, start, end in self.disturbances + self.out_of_touch]
+        return sorted(times + self.other_disturbances)
+
+    def _find_late_acknowledgements(self):
+        """Adds a violation for each order that was not acknowledged while nothing was disturbed."""
+        calm_since = 0.0
+        calm = []
+        for start, end in (*self._all_disturbances(), (math.inf, math.inf)):
+            if start > calm_since:
+                calm.append((calm_since, start))
+            calm_since = max(calm_since, end)
+        for since, until, limit in self.waits:
+            for start, end in calm:
+                waited = min(until, end) - max(since, start)
+                if waited > limit:
+                    self.violations.append(
+                        f"no config was acknowledged within {waited:.1f} s of calm"
+                    )
+
     def _add_kept_calls(self, node, caller, count_by_id):
         """Adds a caller's calls, and a violation for each that a planned stop left unanswered.
 
@@ -244,7 +305,8 @@
         counted = []
         for at, request_id in worker.arrivals:
             node = self.node_by_request.get(request_id)
-            if since + LIMIT_GRACE_SECONDS <= at < until and node not in disturbed:
+            is_counted = node not in disturbed and not self._is_out_of_touch(request_id, at)
+            if since + LIMIT_GRACE_SECONDS <= at < until and is_counted:
                 counted.append(at)
         permitted = LIMIT_FACTOR * rate * LIMIT_WINDOW_SECONDS + LIMIT_ADDITION
         for start in counted:
@@ -265,14 +327,24 @@
         schedule: Injected faults, as lines with the seconds since the start and the fault name.
     """
 
-    def __init__(self, seed: int, cluster, fleet):
+    def __init__(self, seed: int, cluster, fleet, links, fault_names):
         self.record = Record()
         self.schedule = []
-        self._rng = random.Random(seed)
+        # The faults and their times do not depend on what the load draws meanwhile.
+        self._schedule_rng = random.Random(seed)
+        self._rng = random.Random(seed + 1)
         self._cluster = cluster
         self._fleet = fleet
+        self._links = links
+        self._seed = seed
+        self._fault_names = sorted(fault_names)
+        links.record = self.record
+        self._node_count = len(cluster.ips)
         self._proxy_by_worker = {}
         self._proxy_by_node = {}
+        self._operator_proxy_by_node = {}
+        self._directory_proxy_by_node = {}
+        self._sends_large_configs = True
         self._run_times = {}
         self._numbers = iter(range(1_000_000))
         self._version = 10
@@ -289,20 +361,31 @@
             asyncio.ensure_future(self._run_streams(stop)),
             asyncio.ensure_future(self._run_operator(stop)),
             asyncio.ensure_future(self._run_readers(stop)),
+            asyncio.ensure_future(self._run_resolvers(stop)),
         ]
         faults = []
         while time.monotonic() - self._started < FAULT_SECONDS:
-            name = self._rng.choice(sorted(FAULT_BY_NAME))
-            self.schedule.append(f"{time.monotonic() - self._started:.2f} {name}")
+            name = self._schedule_rng.choice(self._fault_names)
+            at = time.monotonic()
+            self.schedule.append(f"{at - self._started:.2f} at={at:.2f} {name}")
             faults.append(asyncio.ensure_future(FAULT_BY_NAME[name](self)))
-            await asyncio.sleep(self._rng.uniform(0.3, 1.8))
+            await asyncio.sleep(self._schedule_rng.uniform(0.3, 1.8))
         await asyncio.gather(*faults)
         await self._check_recovery()
+        await self._wait_for_calm_order()
         stop.set()
         await asyncio.gather(*load)
         self.record.find_violations(self._fleet.workers, self._run_times)
-        for proxy in (*self._proxy_by_worker.values(), *self._proxy_by_node.values()):
-            await proxy.stop()
+        groups = (
+            self._proxy_by_worker,
+            self._proxy_by_node,
+            self._operator_proxy_by_node,
+            self._directory_proxy_by_node,
+        )
+        for group in groups:
+            for proxy in group.values():
+                await proxy.stop()
+        await self._links.stop()
 
     async def _start_proxies(self):
         for worker in self._fleet.workers:
@@ -314,11 +397,17 @@
             worker.runs = TimestampedList(times)
             # Copies are identified by the address that the nodes use, which is that of the proxy.
             self._fleet.announce_address(worker, proxy.address)
-        for node in range(DISK_NODES + DISKLESS_NODES):
-            target = self._cluster.address(node, "front")
-            proxy = proxies.Proxy(f"127.0.4.1:{processes.free_port()}", target)
-            await proxy.start()
-            self._proxy_by_node[node] = proxy
+        proxy_by_node_by_listener = {
+            "front": self._proxy_by_node,
+            "control": self._operator_proxy_by_node,
+            "directory": self._directory_proxy_by_node,
+        }
+        for listener, proxy_by_node in proxy_by_node_by_listener.items():
+            for node in range(self._node_count):
+                address = f"127.0.4.1:{processes.free_port()}"
+                proxy = proxies.Proxy(address, self._cluster.address(node, listener))
+                await proxy.start()
+                proxy_by_node[node] = proxy
         await asyncio.sleep(1.5)
 
     async def _check_recovery(self):
@@ -326,11 +415,11 @@
         number = 0
         while time.monotonic() < end:
             served = 0
-            for node in range(DISK_NODES + DISKLESS_NODES):
+            for node in range(self._node_count):
                 number += 1
                 answer = await self._send_call(node, f"after-{number}")
                 served += answer is not None and answer.status == 200
-            if served == DISK_NODES + DISKLESS_NODES:
+            if served == self._node_count:
                 break
             await asyncio.sleep(0.2)
         else:
@@ -352,6 +441,16 @@
             await asyncio.sleep(0.1)
         self.record.violations.append("no read of the config was answered after the recovery")
 
+    async def _wait_for_calm_order(self):
+        """Waits until an order is acknowledged some time after the last disturbance, or overdue."""
+        self._sends_large_configs = False
+        calm_since = self.record.disturbed_until()
+        overdue_at = calm_since + acknowledge_limit(LARGE_CONFIG_ROUTES)
+        while time.monotonic() < overdue_at + TOLERANCE_SECONDS:
+            if any(at > calm_since for at, _ in self.record.acknowledged):
+                return
+            await asyncio.sleep(0.05)
+
     # Generation of load.
 
     async def _send_call(self, node, request_id):
@@ -365,15 +464,41 @@
 
     async def _run_callers(self, stop):
         while not stop.is_set():
-            node = self._rng.randrange(DISK_NODES + DISKLESS_NODES)
+            node = self._rng.randrange(self._node_count)
             asyncio.ensure_future(self._send_call(node, f"c{next(self._numbers)}"))
             await asyncio.sleep(0.03)
 
+    async def _run_resolvers(self, stop):
+        """Asks the directory of any node where to connect, and calls one of the named nodes."""
+        node_by_address = {
+            self._cluster.address(node, "front"): node for node in range(self._node_count)
+        }
+        while not stop.is_set():
+            await asyncio.sleep(0.2)
+            node = self._rng.randrange(self._node_count)
+            address = self._directory_proxy_by_node[node].address
+            path = "/resolve?name=svc.example&region=r&zone=a"
+            try:
+                async with asyncio.timeout(RESOLVE_WAIT_SECONDS):
+                    answer = await platform_standins.send_request(address, "GET", path)
+            except (OSError, TimeoutError):
+                continue
+            if answer.status != 200 or not answer.complete:
+                continue
+            named = orjson.loads(answer.body)["addresses"]
+            if not node_by_address.keys() >= set(named):
+                self.record.violations.append(f"the directory named {named}")
+                return
+            if named:
+                chosen = node_by_address[self._rng.choice(named)]
+                asyncio.ensure_future(self._send_call(chosen, f"d{next(self._numbers)}"))
+
     async def _run_kept_callers(self, stop):
         """Uses each node on one connection until the node closes it, and then on a new one."""
         encode = node_stop_test.call_encoder(KEPT_CALL_DEADLINE_MS)
-        for number in range(KEPT_CONNECTIONS * (DISK_NODES + DISKLESS_NODES)):
-            node = number // KEPT_CONNECTIONS
+        nodes = self._rng.sample(range(self._node_count), min(KEPT_NODES, self._node_count))
+        for number in range(KEPT_CONNECTIONS * len(nodes)):
+            node = nodes[number // KEPT_CONNECTIONS]
             address = self._cluster.address(node, "front")
             caller = node_stop_test.Caller(f"k{number}", address, encode)
             self.record.kept_callers.append((node, caller))
@@ -391,33 +516,48 @@
 
     async def _run_streams(self, stop):
         while not stop.is_set():
-            node = self._rng.randrange(DISK_NODES + DISKLESS_NODES)
+            node = self._rng.randrange(self._node_count)
             asyncio.ensure_future(self._send_stream(node, f"s{next(self._numbers)}"))
             await asyncio.sleep(0.15)
 
     async def _request_config(self, method, body=b""):
         """Sends a request for the config to a random node and follows redirects."""
-        node = self._rng.randrange(DISK_NODES + DISKLESS_NODES)
+        node = self._rng.randrange(self._node_count)
         for _ in range(1 + MAX_REDIRECTS):
-            answer = await node_test.request_config(self._cluster, node, method, body)
-            if answer is None or answer.status != 307:
+            address = self._operator_proxy_by_node[node].address
+            try:
+                async with asyncio.timeout(OPERATOR_WAIT_SECONDS):
+                    answer = await platform_standins.send_request(
+                        address, method, "/config", body=body
+                    )
+            except (OSError, TimeoutError):
+                return None
+            if answer.status != 307:
                 return answer
             node = node_test.redirected_node(self._cluster, answer)
         return None
 
     async def _run_operator(self, stop):
+        waits_since = None
         while not stop.is_set():
-            self._version += self._rng.randrange(1, 4)
-            is_large = self._rng.randrange(LARGE_CONFIG_INTERVAL) == 0
-            document = node_test.make_large_config(
-                self._version, LARGE_CONFIG_ROUTES if is_large else 0
-            )
-            answer = await self._request_config("PUT", orjson.dumps(document))
+            if waits_since is None or self._rng.random() > RESEND_PROBABILITY:
+                self._version += self._rng.randrange(1, 4)
+                is_large = self._rng.randrange(LARGE_CONFIG_INTERVAL) == 0
+                routes = LARGE_CONFIG_ROUTES if is_large and self._sends_large_configs else 0
+                body = orjson.dumps(node_test.make_large_config(self._version, routes))
+            if waits_since is None:
+                waits_since, limit = time.monotonic(), 0.0
+            limit = max(limit, acknowledge_limit(routes))
+            answer = await self._request_config("PUT", body)
             if answer is not None and answer.status == 200:
                 self.record.acknowledged.append((time.monotonic(), self._version))
+                self.record.waits.append((waits_since, time.monotonic(), limit))
+                waits_since = None
             elif answer is not None and 400 <= answer.status < 500:
                 self.record.violations.append(f"version {self._version} was refused")
             await asyncio.sleep(0.3)
+        if waits_since is not None:
+            self.record.waits.append((waits_since, time.monotonic(), limit))
 
     async def _run_readers(self, stop):
         while not stop.is_set():
@@ -432,13 +572,13 @@
     def _choose_idle_node(self, numbers):
         found = [number for number in numbers if number not in self._reserved_nodes]
         # At most one node with a disk may be unavailable at a time, so that a majority remains.
-        if self._reserved_nodes.intersection(range(DISK_NODES)):
-            found = [number for number in found if number >= DISK_NODES]
+        if self._reserved_nodes.intersection(range(self._cluster.disks)):
+            found = [number for number in found if number >= self._cluster.disks]
         return self._rng.choice(found) if found else None
 
     @contextlib.asynccontextmanager
     async def _reserve_node(self):
-        number = self._choose_idle_node(range(DISK_NODES + DISKLESS_NODES))
+        number = self._choose_idle_node(range(self._node_count))
         if number is None:
             yield None
             return
@@ -464,17 +604,20 @@
     async def lose_disk(self):
         """Kills a node and starts it again with an empty disk."""
         async with self._reserve_node() as number:
-            if number is None or number >= DISK_NODES:
+            # A disk may be lost only while no other machine with a disk counts as lost.
+            if number is None or number >= self._cluster.disks or self._links.is_core_cut():
                 return
+            self._links.disk_lost_until = math.inf
             self._cluster.signal(number, signal.SIGKILL)
             self._cluster.wait(number)
             shutil.rmtree(self._cluster.data_folder(number))
             self._cluster.start(number)
+            self._links.disk_lost_until = clock.now() + CATCH_UP_SECONDS
 
     async def tear_disk(self):
         """Kills a node and leaves part of a write that was not synced at the end of its log."""
         async with self._reserve_node() as number:
-            if number is None or number >= DISK_NODES:
+            if number is None or number >= self._cluster.disks:
                 return
             self._cluster.signal(number, signal.SIGKILL)
             self._cluster.wait(number)
@@ -486,7 +629,7 @@
     async def fill_disk(self):
         """Lets operations of a node's disk fail for want of room, some from the next sync on."""
         async with self._reserve_node() as number:
-            if number is None or number >= DISK_NODES:
+            if number is None or number >= self._cluster.disks:
                 return
             full = full_disk_file(self._cluster, number)
             full.write_text(self._rng.choice(FULL_DISK_OPERATIONS))
@@ -495,10 +638,32 @@
 
     async def shift_clock(self):
         """Shifts the time of day of a node permanently."""
-        number = self._rng.randrange(DISK_NODES + DISKLESS_NODES)
+        number = self._rng.randrange(self._node_count)
         seconds = self._rng.randrange(-MAX_CLOCK_JUMP_SECONDS, MAX_CLOCK_JUMP_SECONDS + 1)
         path = self._cluster.boot_file(number)
         path.with_name(f"{path.name}.clock").write_text(str(seconds))
+        now = clock.now()
+        self.record.other_disturbances.append((now, now + link_faults.CONTACT_SECONDS))
+
+    async def disturb_node_connections(self, name):
+        """Disturbs connections between nodes."""
+        rng = random.Random(self._seed * 1000 + len(self.schedule))
+        await link_faults.FAULT_BY_NAME[name](self._links, rng)
+
+    async def disturb_directory_connections(self):
+        """Disturbs the connections from callers to the directory of a node."""
+        await self._disturb_proxy(
+            self._directory_proxy_by_node[self._rng.randrange(self._node_count)]
+        )
+
+    async def disturb_operator_connections(self):
+        """Disturbs the connections from operators to a node."""
+        started = clock.now()
+        await self._disturb_proxy(
+            self._operator_proxy_by_node[self._rng.randrange(self._node_count)]
+        )
+        ended = clock.now() + link_faults.CONTACT_SECONDS
+        self.record.other_disturbances.append((started, ended))
 
     async def pause(self):
         """Pauses a node."""
@@ -535,9 +700,7 @@
 
     async def disturb_caller_connections(self):
         """Disturbs the connections from callers to a node."""
-        await self._disturb_proxy(
-            self._proxy_by_node[self._rng.randrange(DISK_NODES + DISKLESS_NODES)]
-        )
+        await self._disturb_proxy(self._proxy_by_node[self._rng.randrange(self._node_count)])
 
     async def _disturb_proxy(self, proxy):
         disturbance = self._rng.choice(("delay", "reset", "silent", "blocks_responses"))
@@ -627,6 +790,8 @@
 FAULT_BY_NAME = {
     "fill_disk": Soak.fill_disk,
     "harm_callers": Soak.disturb_caller_connections,
+    "harm_directory": Soak.disturb_directory_connections,
+    "harm_operator": Soak.disturb_operator_connections,
     "harm_worker": Soak.disturb_worker_connections,
     "kill": Soak.kill,
     "leave": Soak.leave_worker,
@@ -640,6 +805,14 @@
     "stop": Soak.stop_node,
     "tear_disk": Soak.tear_disk,
 }
+for _name in link_faults.FAULT_BY_NAME:
+    FAULT_BY_NAME[_name] = functools.partial(Soak.disturb_node_connections, name=_name)
+
+
+def acknowledge_limit(routes):
+    """Returns the time in which a config with a number of routes must be acknowledged."""
+    limit_s = ACKNOWLEDGE_LIMIT_SECONDS + ACKNOWLEDGE_LIMIT_SECONDS_PER_ROUTE * routes
+    return limit_s + TOLERANCE_SECONDS
 
 
 def full_disk_file(cluster, number):
@@ -648,13 +821,20 @@
     return path.with_name(f"{path.name}.full")
 
 
-def run_seed(seed: int, folder: pathlib.Path) -> list[str]:
+def run_seed(
+    seed: int,
+    folder: pathlib.Path,
+    disks: int = DISK_NODES,
+    others: int = DISKLESS_NODES,
+    fault_names=tuple(FAULT_BY_NAME),
+) -> list[str]:
     """Runs one seed in an empty folder; returns the violations."""
     found = []
+    links = link_faults.NodeLinks()
 
     async def scenario(cluster, fleet):
         await fleet.add("w3", "plain", "c")
-        soak = Soak(seed, cluster, fleet)
+        soak = Soak(seed, cluster, fleet, links, fault_names)
         await soak.run()
         record = soak.record
         served = sum(answer.status == 200 for _, answer in record.calls)
@@ -663,31 +843,41 @@
             f"seed {seed}: {len(soak.schedule)} faults; {served} of {len(record.calls)} calls and "
             f"{complete} of {len(record.streams)} streams served; "
             f"{len(record.acknowledged)} configs acknowledged, {len(record.reads)} reads; "
+            f"faults of connections between nodes: {len(links.lines)}; "
             f"{len(record.violations)} promises broken",
             flush=True,
         )
         found.extend(record.violations)
+        (folder / "schedule").write_text("\n".join(soak.schedule + links.lines) + "\n")
         if record.violations:
-            print("\n".join(soak.schedule + record.violations), flush=True)
+            lines = soak.schedule + links.lines + record.violations
+            print("\n".join(lines), flush=True)
 
     modules = str(pathlib.Path(__file__).parent / "shifted_clock")
-    node_test.run_with_cluster(
-        folder, scenario, DISK_NODES, DISKLESS_NODES, {"PYTHONPATH": modules}
-    )
+    environment = {"PYTHONPATH": modules}
+    node_test.run_with_cluster(folder, scenario, disks, others, environment, prepare=links.start)
     return found
 
 
-def main(folder: str, *seeds: str):
+def main(arguments):
     """Runs seeds one after the other, each in a new folder that keeps its logs."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("folder", type=pathlib.Path)
+    parser.add_argument("seeds", type=int, nargs="+")
+    parser.add_argument("--disks", type=int, default=DISK_NODES, help="nodes with a disk")
+    parser.add_argument("--others", type=int, default=DISKLESS_NODES, help="nodes without a disk")
+    parser.add_argument("--faults", help="names of the faults to inject, separated by commas")
+    options = parser.parse_args(arguments)
+    fault_names = options.faults.split(",") if options.faults else FAULT_BY_NAME
     failed = []
-    for seed in seeds:
-        seed_folder = pathlib.Path(folder) / f"seed-{seed}"
+    for seed in options.seeds:
+        seed_folder = options.folder / f"seed-{seed}"
         seed_folder.mkdir(parents=True)
-        if run_seed(int(seed), seed_folder):
-            failed.append(seed)
-    print(f"{len(seeds)} seeds, failed: {' '.join(failed) or 'none'}")
+        if run_seed(seed, seed_folder, options.disks, options.others, fault_names):
+            failed.append(str(seed))
+    print(f"{len(options.seeds)} seeds, failed: {' '.join(failed) or 'none'}")
     sys.exit(1 if failed else 0)
 
 
 if __name__ == "__main__":
-    main(*sys.argv[1:])
+    main(sys.argv[1:])
