Reset connections of the API servers whose callers take no bytes

The library that serves the APIs of gateways and control waits without a limit until a caller takes the bytes of its response. A caller that is gone without a reset, or never reads, kept its connection, the unsent bytes and the task of the request until the process ended. Only generations had a limit of their own, by bytes.

A connection whose unsent bytes do not become less for 15 s is reset now. A check that comes late, as after a pause, resets none.

test_a_connection_whose_caller_takes_no_bytes_is_given_up in tools/serving_test.py failed before (still there after 2.5 s, with a limit of 1 s) and passes.

--- a/chiveswitch/tools/serving.py
+++ b/chiveswitch/tools/serving.py
@@ -6,12 +6,51 @@
 
 import uvicorn
 
+from chiveswitch.core import clock
+
 # Longest time in seconds that a stopping daemon waits for its last responses.
 LAST_RESPONSES_SECONDS = 1.0
+# Time in seconds after which a connection is reset whose caller takes none of the bytes that wait
+# for it, and interval of the checks.
+SEND_TIMEOUT_SECONDS = 15.0
+SEND_CHECK_SECONDS = 1.0
 
 
 class Server(uvicorn.Server):
-    """A uvicorn server without signal handlers: on SIGTERM and SIGINT the daemon drains first."""
+    """A uvicorn server without signal handlers: on SIGTERM and SIGINT the daemon drains first.
+
+    It resets connections whose callers take no bytes. The library waits for them without a limit.
+    """
+
+    def __init__(self, config):
+        super().__init__(config)
+        self._checked_at = clock.now()
+        # (unsent bytes, time since which they have not become less) by connection.
+        self._unsent_by_connection = {}
+
+    async def on_tick(self, counter: int) -> bool:
+        """Checks the connections between the library's own regular tasks."""
+        now = clock.now()
+        silence_s = now - self._checked_at
+        if silence_s >= SEND_CHECK_SECONDS:
+            self._checked_at = now
+            # After a pause of this process, callers may have read without a notice.
+            self._reset_stuck_connections(now, silence_s > 2 * SEND_CHECK_SECONDS)
+        return await super().on_tick(counter)
+
+    def _reset_stuck_connections(self, now, is_late):
+        unsent_by_connection = {}
+        for connection in self.server_state.connections:
+            unsent_bytes = connection.transport.get_write_buffer_size()
+            if not unsent_bytes:
+                continue
+            known_bytes, since = self._unsent_by_connection.get(connection, (unsent_bytes, now))
+            if is_late or unsent_bytes < known_bytes:
+                since = now
+            unsent_by_connection[connection] = (unsent_bytes, since)
+            if now - since > SEND_TIMEOUT_SECONDS:
+                connection.transport.abort()
+        self._unsent_by_connection = unsent_by_connection
 
     @contextlib.contextmanager
     def capture_signals(self):
--- a/chiveswitch/tools/serving_test.py
+++ b/chiveswitch/tools/serving_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 from chiveswitch.tools import processes, serving
 
@@ -54,3 +55,19 @@
         assert time.monotonic() - started < 1.5
 
     run_with_server(serve_without_end, scenario)
+
+
+def test_a_connection_whose_caller_takes_no_bytes_is_given_up():
+    # Guards against connections of callers that are gone without a reset, which are kept with their
+    # unsent bytes, and their handlers with them, until the process ends.
+    async def scenario(server, _reader):
+        assert len(server.server_state.connections) == 1
+        await asyncio.sleep(2.5)
+        assert not server.server_state.connections
+        assert not server.server_state.tasks
+
+    with (
+        mock.patch.object(serving, "SEND_TIMEOUT_SECONDS", 1.0),
+        mock.patch.object(serving, "SEND_CHECK_SECONDS", 0.2),
+    ):
+        run_with_server(serve_large, scenario)
