Close idle connections also while each check is late

The checks of connections to callers skip one that comes late, as after a pause of the process. A process that is busy all the time, so that each check is late, would have closed none. Only the first of several late checks is skipped now, in both servers.

test_a_server_whose_checks_are_always_late_closes_idle_connections failed before (idle connection still there after 4 s) and passes.

--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -559,12 +559,13 @@
 
     async def _close_expired(self):
         checked_at = clock.now()
+        is_late = False
         while True:
             await asyncio.sleep(EXPIRY_CHECK_SECONDS)
             now = clock.now()
-            is_late = now - checked_at > 2 * EXPIRY_CHECK_SECONDS
+            was_late, is_late = is_late, now - checked_at > 2 * EXPIRY_CHECK_SECONDS
             checked_at = now
-            if is_late:
+            if is_late and not was_late:
                 # After a pause of this process, callers may have sent or read without a notice.
                 continue
             for connection in list(self.connections):
--- a/chiveswitch/forwarding/http_server_test.py
+++ b/chiveswitch/forwarding/http_server_test.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import socket
+import time
+from unittest import mock
 
 import pytest
 
@@ -376,3 +378,24 @@
         caller.close()
 
     run(scenario)
+
+
+def keep_busy(seconds):
+    """Blocks the event loop."""
+    time.sleep(seconds)
+
+
+def test_a_server_whose_checks_are_always_late_closes_idle_connections():
+    # Guards against connections that are kept for ever by a process that is busy all the time.
+    async def scenario(echo, address):
+        idle = await connect(address)
+        await platform_standins.wait_until(lambda: echo.server.connections)
+        until = clock.now() + 4.0
+        while echo.server.connections and clock.now() < until:
+            keep_busy(2 * http_server.EXPIRY_CHECK_SECONDS)
+            await asyncio.sleep(0.001)
+        assert not echo.server.connections
+        idle.close()
+
+    with mock.patch.object(http_server, "EXPIRY_CHECK_SECONDS", 0.1):
+        run(scenario)
--- a/chiveswitch/tools/serving.py
+++ b/chiveswitch/tools/serving.py
@@ -25,27 +25,30 @@
     def __init__(self, config):
         super().__init__(config)
         self._checked_at = clock.now()
+        self._was_late = False
         # (unsent bytes, time since which they have not become less) by connection.
         self._unsent_by_connection = {}
 
     async def on_tick(self, counter: int) -> bool:
         """Checks the connections between the library's own regular tasks."""
         now = clock.now()
-        silence_s = now - self._checked_at
-        if silence_s >= SEND_CHECK_SECONDS:
+        interval_s = now - self._checked_at
+        if interval_s >= SEND_CHECK_SECONDS:
             self._checked_at = now
             # After a pause of this process, callers may have read without a notice.
-            self._reset_stuck_connections(now, silence_s > 2 * SEND_CHECK_SECONDS)
+            is_late = interval_s > 2 * SEND_CHECK_SECONDS
+            self._reset_stuck_connections(now, is_late and not self._was_late)
+            self._was_late = is_late
         return await super().on_tick(counter)
 
-    def _reset_stuck_connections(self, now, is_late):
+    def _reset_stuck_connections(self, now, was_paused):
         unsent_by_connection = {}
         for connection in self.server_state.connections:
             unsent_bytes = connection.transport.get_write_buffer_size()
             if not unsent_bytes:
                 continue
             known_bytes, since = self._unsent_by_connection.get(connection, (unsent_bytes, now))
-            if is_late or unsent_bytes < known_bytes:
+            if was_paused or unsent_bytes < known_bytes:
                 since = now
             unsent_by_connection[connection] = (unsent_bytes, since)
             if now - since > SEND_TIMEOUT_SECONDS:
