Close idle connections of peers also while each check is late

As in the servers for callers: the server of the system's own peers skipped each check that came late, so that a process that is busy all the time would have closed none. Only the first of several late checks is skipped now.

test_a_server_whose_checks_are_always_late_closes_idle_connections in peers/links_test.py failed before (one connection left) and passes.

--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -106,12 +106,13 @@
     async def _close_idle_connections(self):
         """Closes connections of peers that are gone or no longer reached, until it is cancelled."""
         checked_at = clock.now()
+        is_late = False
         while True:
             await asyncio.sleep(IDLE_CHECK_SECONDS)
             now = clock.now()
-            is_late = now - checked_at > 2 * IDLE_CHECK_SECONDS
+            was_late, is_late = is_late, now - checked_at > 2 * IDLE_CHECK_SECONDS
             checked_at = now
-            if is_late:
+            if is_late and not was_late:
                 # After a pause of this process, requests may have arrived that are not read yet.
                 continue
             for writer, heard_at in list(self._heard_at_by_writer.items()):
--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from unittest import mock
 
 import expression
@@ -212,3 +213,32 @@
         writer.transport.abort()
 
     run(scenario())
+
+
+def keep_busy(seconds):
+    """Blocks the event loop."""
+    time.sleep(seconds)
+
+
+def test_a_server_whose_checks_are_always_late_closes_idle_connections():
+    # Guards against connections of peers that are gone, which a process that is busy all the time
+    # keeps for ever.
+    async def scenario():
+        server, link = await start(lambda payload, _trace: expression.Ok(payload))
+        await link.close()
+        host, _, port = link.address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        await platform_standins.wait_until(lambda: len(server._heard_at_by_writer) == 1)
+        for _ in range(12):
+            keep_busy(2.5 * links.IDLE_CHECK_SECONDS)
+            await asyncio.sleep(0.001)
+        open_count = len(server._heard_at_by_writer)
+        writer.transport.abort()
+        await server.close()
+        return open_count
+
+    with (
+        mock.patch.object(links, "IDLE_TIMEOUT_SECONDS", 1.0),
+        mock.patch.object(links, "IDLE_CHECK_SECONDS", 0.1),
+    ):
+        assert run(scenario()) == 0
