Simulate bad connections, slow disks and late turns of members

It now also has connections that hold messages up and deliver them in order and late, lose them when the sender gives up, deliver a remainder after that, or go silent; cuts of one link, of one direction, of all that a host sends or receives; slow and hanging disks; late turns. One host within the tolerated losses has such a fault, or any hosts have them and all of it ends at once. Besides a leader within 4 s, a host that counts as running and reaches all hosts that reach more than half must have heard a leader within 4 s.

The check of the time without a leader is stricter, too: it began anew with each call of `run_steps`, so a time that spanned several short calls was not seen.

In the new check a host whose disk hangs and that has nothing to write may lead.

--- a/chiveswitch/core/membership_test.py
+++ b/chiveswitch/core/membership_test.py
@@ -1,6 +1,7 @@
 """Tests of membership in a simulated deployment whose machines are replaced, killed and cut off.
 
-`python -m chiveswitch.core.membership_test FIRST COUNT` plays sequences by hand.
+`python -m chiveswitch.core.membership_test FIRST COUNT [PLAY]` plays sequences by hand; PLAY is
+"machines" or "connections".
 """
 
 import random
@@ -33,14 +34,20 @@
 
 
 class Cuts:
-    """The links that are cut, in the form in which `consensus_test.World` asks for them."""
+    """The links that are cut, in the form in which `consensus_test.World` asks for them.
+
+    Attributes:
+        side_by_name: Side of a split on which a host is; hosts on different sides are cut off.
+        directions: Pairs (sender, receiver) that are cut besides.
+    """
 
     def __init__(self):
-        self.side_by_name = {}
+        self.side_by_name, self.directions = {}, set()
 
     def __contains__(self, link):
         sender, receiver = link
-        return self.side_by_name.get(sender, 0) != self.side_by_name.get(receiver, 0)
+        is_split = self.side_by_name.get(sender, 0) != self.side_by_name.get(receiver, 0)
+        return is_split or link in self.directions
 
 
 class Deployment(consensus_test.World):
@@ -54,15 +61,19 @@
         successors: Hosts that replaced others.
         leaving: Hosts that will be removed although their successors have started already.
         stopped_addresses: Addresses of removed hosts that announced their stop.
+        leader_at: Last time at which there was a leader, or at which none was required.
         calm_since: Time since which no fault has begun or ended.
         events: What was done, for the message of a failure.
     """
 
+    split_share = 0.1
+
     def __init__(self, seed, size, losses, loss=0.0):
         self.address_by_name = {}
         self.lost_until_by_name = {}
         self.successors, self.leaving, self.stopped_addresses = set(), set(), set()
         self.size, self.losses, self.calm_since, self.events = size, losses, 0.0, []
+        self.leader_at = 0.0
         settings = {**consensus_test.SMALL_SETTINGS, "tolerated_losses": losses}
         super().__init__(seed, min(size, 3), settings, loss)
         self.blocked_links = Cuts()
@@ -259,17 +270,16 @@
             leader_seconds: Permitted time without a leader after a fault; None checks nothing.
         """
         end = self.now + seconds
-        leader_at = self.now
         while self.now < end:
             self.run(min(STEP_SECONDS, end - self.now + 1e-6))
             if self.rng.random() < 0.1:
                 for name in self.leaders():
                     self.propose(name)
-            if self.has_working_leader():
-                leader_at = self.now
+            if self.has_working_leader() or leader_seconds is None:
+                self.leader_at = self.now
             if leader_seconds is None:
                 continue
-            waited = self.now - max(leader_at, self.calm_since)
+            waited = self.now - max(self.leader_at, self.calm_since)
             assert waited <= leader_seconds, f"no leader for {waited:.1f} s; {self.describe()}"
 
     def check_margin(self):
@@ -300,16 +310,366 @@
         return f"now {self.now:.2f}, events {self.events}, voters {configurations}"
 
 
-def play(seed):
+# Seconds without data after which a sender closes its connection, and the time that it then takes
+# to open another one.
+CONNECTION_SILENCE_SECONDS = 1.2
+RECONNECT_SECONDS = (0.1, 0.6)
+# Delay of the first byte after a cut, as packets are sent again at growing intervals.
+RETRANSMISSION_SECONDS = (0.01, 2.5)
+SLOW_SYNC_SECONDS = (0.15, 0.6)
+LATE_TURN_SECONDS = (0.1, 0.6)
+
+
+class Connection:
+    """A connection on which one host sends to another one, in order.
+
+    Attributes:
+        is_open: Whether messages are taken; otherwise they are dropped.
+        is_silent: Whether it delivers nothing any more although it is open.
+        held_messages: Messages that a cut or a silence holds up.
+        broken_since: Time since which the sender gets no data, or None.
+        last_arrival_at: Time of arrival of the message that was sent last.
+        number: Number of the connections that were opened before.
+    """
+
+    def __init__(self):
+        self.is_open, self.is_silent, self.held_messages = True, False, []
+        self.broken_since, self.last_arrival_at, self.number = None, 0.0, 0
+
+
+class ConnectedDeployment(Deployment):
+    """A deployment whose hosts talk over connections, and whose disks and turns may be slow.
+
+    Attributes:
+        connection_by_link: `Connection` by pair (sender, receiver).
+        sync_seconds_by_name: Range of the time of a sync of a slow disk.
+        hangs_until_by_name: Time until which a disk finishes no write.
+        late_names: Hosts whose every turn is late.
+        events_by_late_name: Events that wait for a late turn.
+        started_at_by_name: Time of the first start of each host.
+        without_path_at_by_name: Last time at which a host did not reach all hosts that it has to.
+    """
+
+    split_share = 0.3
+
+    def __init__(self, seed, size, losses, loss=0.0):
+        self.connection_by_link, self.sync_seconds_by_name = {}, {}
+        self.hangs_until_by_name, self.late_names = {}, set()
+        self.events_by_late_name, self.started_at_by_name = {}, {}
+        self.without_path_at_by_name = {}
+        super().__init__(seed, size, losses, loss)
+
+    def add_host(self, name, configuration=None, address=None):
+        self.started_at_by_name[name] = self.now
+        super().add_host(name, configuration, address)
+
+    # Connections.
+
+    def is_broken(self, sender, to):
+        """Returns whether one of both directions is cut."""
+        return (sender, to) in self.blocked_links or (to, sender) in self.blocked_links
+
+    def send(self, sender, to, message):
+        if self.rng.random() < self.loss_probability or to not in self.host_by_name:
+            return
+        link = (sender, to)
+        connection = self.connection_by_link.setdefault(link, Connection())
+        self.watch(link, connection)
+        if not connection.is_open:
+            return
+        if connection.is_silent or connection.held_messages or link in self.blocked_links:
+            connection.held_messages.append(message)
+            return
+        arrival_at = max(connection.last_arrival_at, self.now + self.rng.uniform(0.001, 0.003))
+        connection.last_arrival_at = arrival_at
+        event = messages.Received(sender, message)
+        self.schedule(arrival_at - self.now, self.arrive, link, connection.number, event)
+
+    def arrive(self, link, number, event):
+        host = self.host_by_name.get(link[1])
+        connection = self.connection_by_link[link]
+        if host is None:
+            return
+        if number == connection.number and (connection.is_silent or link in self.blocked_links):
+            connection.held_messages.append(event.message)
+            self.watch(link, connection)
+            return
+        self.deliver(host, host.incarnation, event)
+
+    def watch(self, link, connection):
+        """Notices a cut or a silence of a connection, and looks again until it is over."""
+        is_down = connection.is_silent or self.is_broken(*link)
+        if connection.broken_since is None and connection.is_open and is_down:
+            connection.broken_since = self.now
+            self.schedule(STEP_SECONDS, self.check_connection, link, connection.number)
+
+    def check_connection(self, link, number):
+        connection = self.connection_by_link[link]
+        if connection.number != number:
+            return
+        broken_seconds = self.now - connection.broken_since
+        if not connection.is_silent and not self.is_broken(*link):
+            delay = self.rng.uniform(*RETRANSMISSION_SECONDS)
+            # The sender may give up before the packets are sent again.
+            if delay < broken_seconds and broken_seconds + delay < CONNECTION_SILENCE_SECONDS:
+                connection.broken_since = None
+                self.schedule(delay, self.release, link, number)
+                return
+        if broken_seconds < CONNECTION_SILENCE_SECONDS:
+            self.schedule(STEP_SECONDS, self.check_connection, link, number)
+            return
+        held_messages, connection.held_messages = connection.held_messages, []
+        connection.is_open, connection.number = False, connection.number + 1
+        # Bytes that were given to the kernel may arrive although the connection is closed.
+        if not connection.is_silent and self.rng.random() < 0.5:
+            self.schedule(STEP_SECONDS, self.deliver_remainder, link, held_messages)
+        self.schedule(self.rng.uniform(*RECONNECT_SECONDS), self.reconnect, link)
+
+    def deliver_remainder(self, link, held_messages):
+        if self.is_broken(*link):
+            self.schedule(STEP_SECONDS, self.deliver_remainder, link, held_messages)
+            return
+        delay = self.rng.uniform(*RETRANSMISSION_SECONDS)
+        for message in held_messages:
+            event = messages.Received(link[0], message)
+            self.schedule(delay, self.arrive, link, None, event)
+
+    def release(self, link, number):
+        connection = self.connection_by_link[link]
+        if connection.number != number:
+            return
+        held_messages, connection.held_messages = connection.held_messages, []
+        for message in held_messages:
+            self.send(*link, message)
+
+    def reconnect(self, link):
+        connection = self.connection_by_link[link]
+        if self.is_broken(*link):
+            self.schedule(self.rng.uniform(*RECONNECT_SECONDS), self.reconnect, link)
+            return
+        connection.is_open, connection.is_silent, connection.broken_since = True, False, None
+
+    # Disks and turns.
+
+    def sync(self, host, incarnation):
+        remaining = self.hangs_until_by_name.get(host.node_id, 0.0) - self.now
+        if remaining > 0.0:
+            self.schedule(remaining + 0.01, self.sync, host, incarnation)
+            return
+        super().sync(host, incarnation)
+
+    def execute_actions(self, host, actions):
+        usual = self.disk_delay
+        self.disk_delay = self.sync_seconds_by_name.get(host.node_id, usual)
+        super().execute_actions(host, actions)
+        self.disk_delay = usual
+
+    def deliver(self, host, incarnation, event):
+        is_running = host.node is not None and host.incarnation == incarnation
+        if not is_running or host.node_id not in self.late_names:
+            super().deliver(host, incarnation, event)
+            return
+        waiting = self.events_by_late_name.setdefault((host.node_id, incarnation), [])
+        if not waiting:
+            delay = self.rng.uniform(*LATE_TURN_SECONDS)
+            self.schedule(delay, self.run_late_turn, host, incarnation)
+        waiting.append(event)
+
+    def run_late_turn(self, host, incarnation):
+        events = self.events_by_late_name.pop((host.node_id, incarnation))
+        if host.node is not None and host.incarnation == incarnation:
+            self.execute_actions(host, host.node.handle_all(events, self.now))
+
+    # Faults.
+
+    def fault_within_limits(self):
+        """Begins a fault of a host, its links, its disk or its turns, or of open connections."""
+        kind = self.rng.choice((*CONNECTION_FAULTS, "machine", "machine", "silence"))
+        if kind == "machine":
+            super().fault_within_limits()
+            return
+        if kind == "silence":
+            self.silence_connections(self.rng.choice((0.2, 0.5, 1.0)))
+            return
+        name = self.pick_host()
+        if name is None or self.lost_count() >= self.losses:
+            return
+        seconds = self.rng.choice((0.3, 1.0, 2.5, 6.0, 14.0))
+        self.note(kind, name, seconds)
+        begin, end = CONNECTION_FAULTS[kind](self, name, seconds)
+        self.disturb(name, seconds, begin, end)
+
+    def silence_connections(self, share):
+        self.note("silence", share)
+        for link, connection in self.connection_by_link.items():
+            if connection.is_open and self.rng.random() < share:
+                connection.is_silent = True
+                self.watch(link, connection)
+
+    def cut(self, directions):
+        """Returns calls that begin and end a cut of pairs (sender, receiver)."""
+        return (
+            lambda: self.block(directions),
+            lambda: self.blocked_links.directions.difference_update(directions),
+        )
+
+    def block(self, directions):
+        self.blocked_links.directions.update(directions)
+        for link, connection in self.connection_by_link.items():
+            self.watch(link, connection)
+
+    def split(self):
+        """Disturbs any hosts, links, disks and turns for some seconds, and ends it all at once."""
+        if self.rng.random() < 0.3:
+            super().split()
+            return
+        while self.leaving or self.lost_count():
+            self.run_steps(STEP_SECONDS, LEADER_SECONDS)
+        names = sorted(self.host_by_name)
+        share = self.rng.choice((0.1, 0.3, 0.6))
+        kinds = self.rng.choice((ALL_HOSTS_FAULTS, ALL_HOSTS_FAULTS[:1], ALL_HOSTS_FAULTS[1:]))
+        seconds = self.rng.uniform(1.0, 20.0)
+        self.note("disturb all", kinds, share, seconds)
+        end = self.now + seconds
+        while self.now < end:
+            for name in names:
+                if self.rng.random() < share:
+                    kind = self.rng.choice(kinds)
+                    remaining = end - self.now
+                    begin, stop = CONNECTION_FAULTS[kind](self, name, remaining)
+                    begin()
+                    self.schedule(self.rng.choice((0.2, 1.0, 1.0)) * remaining, stop)
+            self.run_steps(min(self.rng.uniform(0.3, 4.0), max(0.0, end - self.now)), None)
+        self.run_steps(0.001, None)
+        self.blocked_links.directions.clear()
+        self.late_names.clear()
+        self.sync_seconds_by_name.clear()
+        self.note("calm")
+        self.run_steps(RECOVERY_SECONDS, LEADER_SECONDS)
+
+    # Checks.
+
+    def reaches(self, name, other):
+        """Returns whether two hosts run and reach each other in both directions."""
+        host = self.host_by_name.get(other)
+        is_running = host is not None and host.node is not None and host.paused_until <= self.now
+        return is_running and not self.is_broken(name, other)
+
+    def host_works(self, host):
+        name = host.node_id
+        # A leader that has nothing to write does not notice that its disk hangs.
+        if self.hangs_until_by_name.get(name, 0.0) > self.now and host.disk.unsynced_actions:
+            return False
+        voters = host.node.log.configuration().voters
+        reached = sum(self.reaches(name, voter_id) for voter_id in voters)
+        return 2 * reached > len(voters) and super().host_works(host)
+
+    def run_steps(self, seconds, leader_seconds):
+        end = self.now + seconds
+        while self.now < end:
+            super().run_steps(min(STEP_SECONDS, end - self.now + 1e-6), leader_seconds)
+            self.look_for_paths()
+            if leader_seconds is not None and self.now - self.calm_since > CATCH_UP_SECONDS:
+                self.check_hosts_in_touch()
+
+    def look_for_paths(self):
+        """Notes which hosts do not reach every host that itself reaches more than half of all."""
+        names = set(self.host_by_name)
+        reached_by_name = {
+            name: {other for other in names if self.reaches(name, other)} for name in names
+        }
+        central = {name for name in names if 2 * len(reached_by_name[name]) > len(names)}
+        for name in names:
+            if not central <= reached_by_name[name] | {name}:
+                self.without_path_at_by_name[name] = self.now
+
+    def check_hosts_in_touch(self):
+        """Checks that each host that is in touch has lately heard a leader."""
+        for name, host in self.host_by_name.items():
+            in_touch_at = CATCH_UP_SECONDS + max(
+                self.started_at_by_name[name], self.without_path_at_by_name.get(name, 0.0)
+            )
+            if max(in_touch_at, self.lost_until_by_name.get(name, 0.0)) >= self.now:
+                continue
+            contact = host.node.seconds_since_leader_contact(self.now)
+            assert (
+                contact <= CATCH_UP_SECONDS
+            ), f"{name} is out of touch for {contact:.1f} s; {self.describe()}"
+
+    def finish(self):
+        self.late_names.clear()
+        super().finish()
+
+
+CONNECTION_FAULTS = {}
+
+
+def connection_fault(name):
+    """Registers a function that returns the begin and the end of a fault of a host."""
+
+    def register(function):
+        CONNECTION_FAULTS[name] = function
+        return function
+
+    return register
+
+
+@connection_fault("link")
+def cut_link(world, name, seconds):
+    other = world.rng.choice(sorted(set(world.host_by_name) - {name}))
+    return world.cut({(name, other), (other, name)})
+
+
+@connection_fault("one direction")
+def cut_direction(world, name, seconds):
+    other = world.rng.choice(sorted(set(world.host_by_name) - {name}))
+    return world.cut({world.rng.choice(((name, other), (other, name)))})
+
+
+@connection_fault("sends nothing")
+def cut_sending(world, name, seconds):
+    return world.cut({(name, other) for other in world.host_by_name})
+
+
+@connection_fault("receives nothing")
+def cut_receiving(world, name, seconds):
+    return world.cut({(other, name) for other in world.host_by_name})
+
+
+@connection_fault("cut")
+def cut_off(world, name, seconds):
+    others = set(world.host_by_name) - {name}
+    return world.cut({pair for other in others for pair in ((name, other), (other, name))})
+
+
+@connection_fault("slow disk")
+def slow_disk(world, name, seconds):
+    return (
+        lambda: world.sync_seconds_by_name.update({name: SLOW_SYNC_SECONDS}),
+        lambda: world.sync_seconds_by_name.pop(name, None),
+    )
+
+
+@connection_fault("hanging disk")
+def hang_disk(world, name, seconds):
+    return lambda: world.hangs_until_by_name.update({name: world.now + seconds}), lambda: None
+
+
+@connection_fault("late turns")
+def delay_turns(world, name, seconds):
+    return lambda: world.late_names.add(name), lambda: world.late_names.discard(name)
+
+
+def play(seed, deployment_class=Deployment):
     """Plays one sequence of faults; returns the deployment."""
     rng = random.Random(seed)
     size, losses = rng.choice(DEPLOYMENTS)
-    world = Deployment(seed, size, losses, loss=rng.choice((0.0, 0.0, 0.05)))
+    world = deployment_class(seed, size, losses, loss=rng.choice((0.0, 0.0, 0.05)))
     world.events.append(f"seed {seed}, {size} machines, {losses} losses")
     world.run(CATCH_UP_SECONDS + 1.0)
     world.calm_since = world.now
     for _ in range(rng.randint(3, 6)):
-        if rng.random() < 0.1:
+        if rng.random() < world.split_share:
             world.run_steps(CATCH_UP_SECONDS, LEADER_SECONDS)
             while world.lost_count():
                 world.run_steps(STEP_SECONDS, LEADER_SECONDS)
@@ -336,6 +696,21 @@
         play(seed)
 
 
+@pytest.mark.parametrize("first_seed", range(0, 20, 10))
+def test_a_leader_remains_electable_over_bad_connections_disks_and_turns(first_seed):
+    # Guards against members that live and are reached, and of which none leads: connections that
+    # are open and deliver nothing or old messages, cuts of one link or in one direction, slow and
+    # hanging disks, late turns.
+    for seed in range(first_seed, first_seed + 10):
+        play(seed, ConnectedDeployment)
+
+
+# Kinds of faults that may strike any number of hosts at a time.
+ALL_HOSTS_FAULTS = ("one direction", "late turns", "slow disk", "hanging disk")
+
+DEPLOYMENT_BY_PLAY = {"machines": Deployment, "connections": ConnectedDeployment}
+
+
 def spare_voters(members, settings):
     """Returns how many of the voters that are not silent may be lost."""
     voters = [member for member in members if member.is_voter]
@@ -442,10 +817,11 @@
 
 def main():
     first, count = int(sys.argv[1]), int(sys.argv[2])
+    deployment_class = DEPLOYMENT_BY_PLAY[sys.argv[3] if len(sys.argv) > 3 else "machines"]
     started, failed, virtual_seconds = time.monotonic(), 0, 0.0
     for seed in range(first, first + count):
         try:
-            virtual_seconds += play(seed).now
+            virtual_seconds += play(seed, deployment_class).now
         except (AssertionError, StopIteration) as error:
             failed += 1
             print(f"seed {seed}: {error!r}"[:1500], flush=True)
