Bound the responses that the gateway daemon and the controller keep

What an operator would see: an engine or a plain service that sends a head, a chunk or a body without end fills the memory of the gateway daemon that called it, or of the controller that sent it an order; all other requests of the process end with it.

Cause: the HTTP library keeps heads, chunks and bodies with a length as a whole and whatever their size, joins the chunks of a body without a bound, and knows no time limit for the head of a stream.

Evidence: bounded_connection_test.py has sixteen cases (calls, orders, streams, cancellations; a head, a chunk, chunks, a body).

Why this fix works: all clients of targets use a connection that counts lines of a head and looks at the size of each part before it is read, and that closes itself above 64 KiB, or 4 MiB (streams) and 16 MiB (other responses). A cancellation needs the status only and reads no further.

--- a/chiveswitch/targets/checked_client.py
+++ b/chiveswitch/targets/checked_client.py
@@ -7,9 +7,13 @@
 import contextvars
 
 import aiosonic
-from aiosonic import connection, connectors, exceptions, pools
+from aiosonic import connectors, exceptions, pools
+
+from chiveswitch.targets import bounded_connection
 
 CONNECT_TIMEOUT_SECONDS = 0.5
+# Largest response in bytes.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 _may_send = contextvars.ContextVar("may_send", default=None)
 
@@ -22,9 +26,15 @@
 NOT_SENT_ERRORS = (SendForbiddenError, ConnectionRefusedError, exceptions.ConnectTimeout)
 
 
-class _CheckedConnection(connection.Connection):
+class _CheckedConnection(bounded_connection.BoundedConnection):
     """A connection that checks after connecting, before the first byte, whether it may send."""
 
+    max_part_bytes = MAX_RESPONSE_BYTES
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._body_bytes = 0
+
     async def connect(self, *args, **kwargs):
         await super().connect(*args, **kwargs)
         may_send = _may_send.get()
@@ -32,6 +42,13 @@
             self.close()
             raise SendForbiddenError
 
+    async def readexactly(self, size: int):
+        """Reads a chunk, or a body with a length."""
+        # The connection has one response, whose chunks are joined.
+        self._body_bytes += size
+        self.check_size(self._body_bytes, MAX_RESPONSE_BYTES)
+        return await super().readexactly(size)
+
 
 def new_client() -> aiosonic.HTTPClient:
     """Returns a client for one request; release it with `connector.cleanup()`."""
--- a/chiveswitch/targets/engine_client.py
+++ b/chiveswitch/targets/engine_client.py
@@ -5,6 +5,7 @@
 from aiosonic import connectors, pools
 
 from chiveswitch.core import sse
+from chiveswitch.targets import bounded_connection
 
 # The library queues requests when all connections of its pool are in use, so the pool is large.
 POOL_SIZE = 4000
@@ -56,7 +57,8 @@
                     ":default": pools.PoolConfig(
                         size=POOL_SIZE, max_conn_idle_ms=1000, max_conn_requests=100
                     )
-                }
+                },
+                connection_cls=bounded_connection.BoundedConnection,
             )
         )
 
@@ -106,7 +108,7 @@
                 method="DELETE",
                 timeouts=CANCEL_TIMEOUTS,
             )
-            await response.content()
+            await response.aclose()
             return response.status_code == 200
         # After any failure the cancellation is unconfirmed, and the caller repeats it.
         except Exception:
