--- a/chiveswitch/targets/engine_client.py
+++ b/chiveswitch/targets/engine_client.py
@@ -4,7 +4,7 @@
 import orjson
 
 from chiveswitch.core import sse
-from chiveswitch.targets import pooled_client
+from chiveswitch.targets import bounded_connection, pooled_client
 
 # The library queues requests when all connections of its pool are in use, so the pool is large.
 POOL_SIZE = 4000
@@ -18,6 +18,10 @@
 )
 
 
+class _EngineConnection(pooled_client.FailClosedConnection, bounded_connection.BoundedConnection):
+    """A kept connection that is closed after a failed request and by too large responses."""
+
+
 class AttemptStream:
     """Open event stream of an attempt.
 
@@ -51,7 +55,7 @@
 
     def __init__(self):
         self._client = pooled_client.new_client(
-            size=POOL_SIZE, max_conn_idle_ms=1000, max_conn_requests=100
+            _EngineConnection, size=POOL_SIZE, max_conn_idle_ms=1000, max_conn_requests=100
         )
 
     async def close(self):
@@ -100,7 +104,7 @@
                 method="DELETE",
                 timeouts=CANCEL_TIMEOUTS,
             )
-            await response.content()
+            await response.aclose()
             return response.status_code == 200
         # After any failure the cancellation is unconfirmed, and the caller repeats it.
         except Exception:
--- a/chiveswitch/targets/pooled_client.py
+++ b/chiveswitch/targets/pooled_client.py
@@ -8,7 +8,7 @@
 from aiosonic import connection, connectors, pools
 
 
-class _FailClosedConnection(connection.Connection):
+class FailClosedConnection(connection.Connection):
     """A connection that is not used again after a failed request."""
 
     async def __aexit__(self, exc_type, exc, traceback):
@@ -19,15 +19,16 @@
         await super().__aexit__(exc_type, exc, traceback)
 
 
-def new_client(**pool_options) -> aiosonic.HTTPClient:
+def new_client(connection_class=FailClosedConnection, **pool_options) -> aiosonic.HTTPClient:
     """Returns a client; close it with `aclose()`.
 
     Args:
+        connection_class: Subclass of `FailClosedConnection`.
         pool_options: Arguments of the library's `PoolConfig`.
     """
     return aiosonic.HTTPClient(
         connectors.TCPConnector(
             pool_configs={":default": pools.PoolConfig(**pool_options)},
-            connection_cls=_FailClosedConnection,
+            connection_cls=connection_class,
         )
     )
