Reset connections between nodes that deliver nothing

Cause: an aborted transport is closed, not reset. The system goes on sending what it has buffered for a link that has given its connection up, for minutes, and the peer can receive it after the requests of the next connection, or while the sender is no longer there.

The connection is now closed with a linger time of 0, so that the system drops the data. test_a_link_resets_a_connection_that_delivers_nothing failed before (the peer saw an orderly end) and passes.

--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -5,6 +5,8 @@
 import inspect
 import logging
 import math
+import socket
+import struct
 
 import expression
 
@@ -43,6 +45,19 @@
         loop.call_later(CLOSE_TIMEOUT_SECONDS, writer.transport.abort)
 
 
+def _reset(writer):
+    """Resets a connection that delivers nothing.
+
+    Without a reset, the kernel goes on sending what it has buffered, and the peer could receive old
+    requests long after those of the next connection.
+    """
+    sock = writer.get_extra_info("socket")
+    # With a linger time of 0, closing the socket sends a reset. A closed one has no descriptor.
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Server:
     """Answers requests of other processes.
 
@@ -393,7 +408,7 @@
                 self._connected = self.is_receiving = False
                 receiver.cancel()
                 if self._abort_requested:
-                    writer.transport.abort()
+                    _reset(writer)
                 _close_in_time(writer)
                 self._fail_pending_calls(
                     codes.Code.LINK_CLOSED, f"lost the connection to {self.address}"
--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -249,3 +249,31 @@
         mock.patch.object(links, "IDLE_CHECK_SECONDS", 0.1),
     ):
         assert run(scenario()) == 0
+
+
+def test_a_link_resets_a_connection_that_delivers_nothing():
+    # Guards against requests that the system still holds for a connection that was given up, and
+    # that reach the peer after those of the next connection.
+    async def scenario():
+        ends = []
+
+        async def accept(reader, writer):
+            try:
+                while await reader.read(65536):
+                    pass
+                ends.append("end")
+            except ConnectionResetError:
+                ends.append("reset")
+            writer.close()
+
+        port = processes.free_port()
+        listener = await asyncio.start_server(accept, "127.0.0.1", port)
+        link = links.Link(f"127.0.0.1:{port}")
+        while not ends:
+            link.post(KIND, b"")
+            await asyncio.sleep(0.05)
+        await link.close()
+        listener.close()
+        return ends[0]
+
+    assert run(scenario()) == "reset"
