Drop the votes of a candidate once another node leads the term

Callers have not seen it; it would be two leaders in one term, and so members whose logs differ.

Cause: a candidate that lost the election of a term kept the votes that it got. They are a minority of the voters of that time, but the leader of the term may change the voters meanwhile. Of five voters, b leads with the votes of c and d, and a keeps its own and that of e. b removes c and d. When a hears b no longer, it becomes a pre-candidate in the same term, and its two old votes are a majority of a, b and e: it leads the term of b, at once and without asking anyone.

Whoever follows, a leader or a later term, now forgets the campaign. Votes still count after the election timeout as long as nobody is known to lead the term, during which the log, and so the voters, cannot change.

test_votes_of_a_term_that_another_node_leads_do_not_count failed before (the role was leader, in the term of the other leader) and passes.

--- a/chiveswitch/core/consensus.py
+++ b/chiveswitch/core/consensus.py
@@ -415,6 +415,9 @@
     def _become_follower(self, term: int, leader_id: str | None) -> None:
         if term > self.term:
             self._set_hard_state(term, None)
+        # Another leader of this term may remove voters, and then the few votes that this node got
+        # could look like a majority.
+        self._campaign_term = None
         if self.role != Role.FOLLOWER:
             self.role = Role.FOLLOWER
             self._arm_election_timer()
--- a/chiveswitch/core/consensus_test.py
+++ b/chiveswitch/core/consensus_test.py
@@ -865,6 +865,33 @@
     assert node.role == consensus.Role.PRE_CANDIDATE
 
 
+def test_votes_of_a_term_that_another_node_leads_do_not_count():
+    # Guards against a second leader in one term: its leader has removed voters, and the votes that
+    # a loser of the election got before are a majority of those that remain.
+    members = {name: "" for name in "abcde"}
+    state = messages.initial_state(messages.Configuration(members))
+    node = consensus.Node("a", state, consensus.Settings(), random.Random(1), 0.0)
+    now = node.next_deadline()
+    node.handle(messages.Tick(), now)
+    for voter_id in ("b", "e"):
+        node.handle(messages.Received(voter_id, messages.PreVoteResponse(0, 1, True)), now)
+    assert node.role == consensus.Role.CANDIDATE
+    node.handle(messages.Persisted(1), now)
+    node.handle(messages.Received("e", messages.VoteResponse(1, True)), now)
+    entries = [messages.Entry(1, 1, messages.EntryKind.NO_OP)]
+    for removed in ("c", "d"):
+        del members[removed]
+        data = messages.Configuration(dict(members)).encode()
+        kind = messages.EntryKind.CONFIGURATION
+        entries.append(messages.Entry(len(entries) + 1, 1, kind, data))
+    node.handle(messages.Received("b", messages.AppendRequest(1, 0, 0, entries, 3, 1)), now)
+    assert node.leader_id == "b" and set(node.log.configuration().voters) == {"a", "b", "e"}
+    node.handle(messages.Persisted(2), now)
+    while node.role == consensus.Role.FOLLOWER:
+        node.handle(messages.Tick(), node.next_deadline())
+    assert node.role == consensus.Role.PRE_CANDIDATE and node.term == 1
+
+
 def test_votes_of_an_earlier_process_do_not_count():
     # Guards against the same after a restart of a leader, which does not know that it has led.
     state = messages.initial_state(messages.Configuration({"a": "", "b": "", "c": ""}))
