Do not abort a closed connection whose data has been accepted

What callers saw: nothing; the log got an error, "Exception in callback _SelectorTransport.abort()", a second after a connection was closed.

Cause: since a closed connection whose peer has not accepted all data is aborted after a second. If the peer accepts the rest within that second, the transport has closed itself, and its abort raises an AttributeError.

The abort is left out if nothing is buffered any more.

test_a_closed_connection_whose_peer_reads_the_rest_is_not_closed_again failed before (one exception in the event loop) and passes.

--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -37,10 +37,15 @@
     A plain close waits for the peer to accept the data in the write buffer, which a peer that hangs
     or is no longer reached never does.
     """
+
+    def abort_if_open():
+        # The transport can't be aborted once it has sent everything and closed itself.
+        if writer.transport.get_write_buffer_size():
+            writer.transport.abort()
+
     writer.close()
     if writer.transport.get_write_buffer_size():
-        loop = asyncio.get_running_loop()
-        loop.call_later(CLOSE_TIMEOUT_SECONDS, writer.transport.abort)
+        asyncio.get_running_loop().call_later(CLOSE_TIMEOUT_SECONDS, abort_if_open)
 
 
 class Server:
--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -212,3 +212,29 @@
         writer.transport.abort()
 
     run(scenario())
+
+
+def test_a_closed_connection_whose_peer_reads_the_rest_is_not_closed_again():
+    # Guards against an exception in the event loop a second after a connection was closed whose
+    # peer has accepted the buffered data meanwhile.
+    async def scenario():
+        faults = []
+        asyncio.get_running_loop().set_exception_handler(lambda _loop, fault: faults.append(fault))
+        buffered = []
+
+        async def send_and_close(_reader, writer):
+            writer.write(bytes(16 << 20))
+            buffered.append(writer.transport.get_write_buffer_size())
+            links._close_in_time(writer)
+
+        listener = await asyncio.start_server(send_and_close, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        received = await reader.read()
+        await asyncio.sleep(links.CLOSE_TIMEOUT_SECONDS + 0.2)
+        writer.close()
+        listener.close()
+        return buffered[0], len(received), faults
+
+    buffered, received, faults = run(scenario())
+    assert buffered and received == 16 << 20
+    assert faults == []
