Wait for clients that receive a large reply before closing as idle

Callers have not seen it.

Cause: a client sends no pings while parts of a reply arrive, since it pings after 0.3 s without data, and on the watch of a hub it sends nothing before the reply is complete. A call waits up to 20 s longer for such a reply, but the server closed the connection after 15 s without a part of a request. A reply that needs longer was cut off, and cut off again each time it was requested.

The time is now the longest time of such a transfer and 15 s.

test_a_server_waits_for_clients_that_receive_a_large_reply failed before (15 s, less than 31.2 s).

--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -26,8 +26,9 @@
 MAX_QUEUED_FRAMES = 10_000
 CLOSE_TIMEOUT_SECONDS = 1.0
 # A server closes a connection on which no part of a request arrives for this long. Clients send at
-# least a ping or a call that is held every few seconds; the time is longer than usual pauses.
-IDLE_TIMEOUT_SECONDS = 15.0
+# least a ping or a call that is held every few seconds, except while parts of a large reply arrive;
+# beyond that, the time is longer than usual pauses.
+IDLE_TIMEOUT_SECONDS = MAX_TRANSFER_SECONDS + 15.0
 IDLE_CHECK_SECONDS = 1.0
 
 
--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -7,7 +7,7 @@
 import expression
 
 from chiveswitch.core import codes
-from chiveswitch.peers import frames, kinds, links
+from chiveswitch.peers import frames, hub, hub_watch, kinds, links
 from chiveswitch.tools import processes
 from features import platform_standins
 
@@ -158,6 +158,14 @@
         assert run(scenario())
 
 
+def test_a_server_waits_for_clients_that_receive_a_large_reply():
+    # Guards against large replies over slow connections that are cut off each time, because clients
+    # send nothing while their parts arrive.
+    longest_call = hub.LONG_POLL_SECONDS + hub_watch.RESPONSE_MARGIN_SECONDS
+    longest_call += links.MAX_TRANSFER_SECONDS
+    assert links.IDLE_TIMEOUT_SECONDS >= longest_call + 10.0
+
+
 def test_a_link_to_a_peer_that_reads_nothing_is_closed_in_time():
     # Guards against a connection that is closed and yet kept, with what the peer has not accepted,
     # until the process ends.
