Test limits of the time that requests extend a connection's time-out

Two guards of connection_monitor could be taken out without a failing test: the limit of the time for requests that have not arrived, and that a reply shows the arrival of all earlier requests. Each new test fails without its guard; both pass at once.

--- a/chiveswitch/core/connection_monitor_test.py
+++ b/chiveswitch/core/connection_monitor_test.py
@@ -95,3 +95,22 @@
     # Guards against closing a connection whose owner watches over the replies itself.
     monitor = make_monitor(probe_interval_s=float("inf"))
     assert monitor.check(1_000_000.0) == WAIT
+
+
+def test_requests_that_never_arrive_extend_the_timeout_up_to_a_limit():
+    # Guards against a silent connection that is kept for minutes because much was sent on it.
+    monitor = make_monitor(max_transfer_s=20.0)
+    monitor.record_sent(1, 1_000_000_000)
+    assert monitor.check(0.3) == PROBE
+    assert monitor.next_check_at == pytest.approx(0.3 + 0.9 + 20.0)
+
+
+def test_a_reply_shows_that_all_earlier_requests_have_arrived():
+    # Guards against requests that count as being on their way for as long as the replies to them
+    # are held back, though a later one has been answered.
+    monitor = make_monitor()
+    for request_id in (1, 2, 3):
+        monitor.record_sent(request_id, 1_000_000)
+    monitor.record_reply(2, 0.1)
+    assert monitor.check(0.4) == PROBE
+    assert monitor.next_check_at == pytest.approx(0.4 + 0.9 + 4.0)
