Test that a link is kept while a large request is on its way

The bytes that a link sends were reported to its connection_monitor without a test: with the report taken out, links_test and silent_connections_test passed. The new test fails without it (LINK_CLOSED) and passes at once.

--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -246,3 +246,36 @@
     buffered, received, faults = run(scenario())
     assert buffered and received == 16 << 20
     assert faults == []
+
+
+def test_a_link_is_kept_while_a_large_request_is_on_its_way():
+    # Guards against large requests over slow connections, which take longer than the reply to a
+    # ping may, and are cut off and sent anew each time.
+    size = 16 << 20
+
+    async def scenario():
+        server = links.Server({KIND: lambda payload, _trace: expression.Ok(b"%d" % len(payload))})
+        accepted = []
+
+        async def serve_slowly(reader, writer):
+            accepted.append(writer)
+            read = reader.read
+
+            async def read_slowly(count):
+                await asyncio.sleep(count / 6e6)
+                return await read(count)
+
+            reader.read = read_slowly
+            await server._serve_connection(reader, writer)
+
+        listener = await asyncio.start_server(serve_slowly, "127.0.0.1", 0)
+        link = links.Link("{}:{}".format(*listener.sockets[0].getsockname()))
+        await platform_standins.wait_until(lambda: link.connected)
+        result = await link.call(KIND, bytes(size), 15.0)
+        await link.close()
+        listener.close()
+        return result, len(accepted)
+
+    result, accepted = run(scenario())
+    assert result.is_ok() and result.ok == b"%d" % size
+    assert accepted == 1
