Test that parts of a large reply keep a link open

Parts of a reply were counted as data without a test: with the count taken out, links_test and silent_connections_test passed. The new test fails without it (LINK_CLOSED) and passes at once.

--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -279,3 +279,28 @@
     result, accepted = run(scenario())
     assert result.is_ok() and result.ok == b"%d" % size
     assert accepted == 1
+
+
+def test_a_link_is_kept_while_parts_of_a_large_reply_arrive():
+    # Guards against large replies over slow connections that are cut off, because only whole
+    # replies count as data.
+    async def scenario():
+        async def reply_slowly(reader, writer):
+            request = (await frames.read_frame(reader)).ok
+            request.is_reply, request.code = True, int(codes.Code.OK)
+            request.payload = bytes(1 << 20)
+            frame = frames.encode_frame(request)
+            for start in range(0, len(frame), 50_000):
+                writer.write(frame[start : start + 50_000])
+                await asyncio.sleep(0.1)
+            writer.close()
+
+        listener = await asyncio.start_server(reply_slowly, "127.0.0.1", 0)
+        link = links.Link("{}:{}".format(*listener.sockets[0].getsockname()))
+        result = await link.call(KIND, b"", 5.0)
+        await link.close()
+        listener.close()
+        return result
+
+    result = run(scenario())
+    assert result.is_ok() and len(result.ok) == 1 << 20
