--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -28,8 +28,9 @@
 MAX_QUEUED_FRAMES = 10_000
 CLOSE_TIMEOUT_SECONDS = 1.0
 # A server closes a connection on which no part of a request arrives for this long. Clients send at
-# least a ping or a call that is held every few seconds; the time is longer than usual pauses.
-IDLE_TIMEOUT_SECONDS = 15.0
+# least a ping or a call that is held every few seconds, except while parts of a large reply arrive;
+# beyond that, the time is longer than usual pauses.
+IDLE_TIMEOUT_SECONDS = MAX_TRANSFER_SECONDS + 15.0
 IDLE_CHECK_SECONDS = 1.0
 
 
@@ -39,10 +40,15 @@
     A plain close waits for the peer to accept the data in the write buffer, which a peer that hangs
     or is no longer reached never does.
     """
+
+    def abort_if_open():
+        # The transport can't be aborted once it has sent everything and closed itself.
+        if writer.transport.get_write_buffer_size():
+            writer.transport.abort()
+
     writer.close()
     if writer.transport.get_write_buffer_size():
-        loop = asyncio.get_running_loop()
-        loop.call_later(CLOSE_TIMEOUT_SECONDS, writer.transport.abort)
+        asyncio.get_running_loop().call_later(CLOSE_TIMEOUT_SECONDS, abort_if_open)
 
 
 def _reset(writer):
--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -8,7 +8,7 @@
 import expression
 
 from chiveswitch.core import codes
-from chiveswitch.peers import frames, kinds, links
+from chiveswitch.peers import frames, hub, hub_watch, kinds, links
 from chiveswitch.tools import processes
 from features import platform_standins
 
@@ -166,6 +166,14 @@
         assert run(scenario())
 
 
+def test_a_server_waits_for_clients_that_receive_a_large_reply():
+    # Guards against large replies over slow connections that are cut off each time, because clients
+    # send nothing while their parts arrive.
+    longest_call = hub.LONG_POLL_SECONDS + hub_watch.RESPONSE_MARGIN_SECONDS
+    longest_call += links.MAX_TRANSFER_SECONDS
+    assert links.IDLE_TIMEOUT_SECONDS >= longest_call + 10.0
+
+
 def test_a_link_to_a_peer_that_reads_nothing_is_closed_in_time():
     # Guards against a connection that is closed and yet kept, with what the peer has not accepted,
     # until the process ends.
@@ -277,3 +285,87 @@
         return ends[0]
 
     assert run(scenario()) == "reset"
+
+
+def test_a_closed_connection_whose_peer_reads_the_rest_is_not_closed_again():
+    # Guards against an exception in the event loop a second after a connection was closed whose
+    # peer has accepted the buffered data meanwhile.
+    async def scenario():
+        faults = []
+        asyncio.get_running_loop().set_exception_handler(lambda _loop, fault: faults.append(fault))
+        buffered = []
+
+        async def send_and_close(_reader, writer):
+            writer.write(bytes(16 << 20))
+            buffered.append(writer.transport.get_write_buffer_size())
+            links._close_in_time(writer)
+
+        listener = await asyncio.start_server(send_and_close, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        received = await reader.read()
+        await asyncio.sleep(links.CLOSE_TIMEOUT_SECONDS + 0.2)
+        writer.close()
+        listener.close()
+        return buffered[0], len(received), faults
+
+    buffered, received, faults = run(scenario())
+    assert buffered and received == 16 << 20
+    assert faults == []
+
+
+def test_a_link_is_kept_while_a_large_request_is_on_its_way():
+    # Guards against large requests over slow connections, which take longer than the reply to a
+    # ping may, and are cut off and sent anew each time.
+    size = 16 << 20
+
+    async def scenario():
+        server = links.Server({KIND: lambda payload, _trace: expression.Ok(b"%d" % len(payload))})
+        accepted = []
+
+        async def serve_slowly(reader, writer):
+            accepted.append(writer)
+            read = reader.read
+
+            async def read_slowly(count):
+                await asyncio.sleep(count / 6e6)
+                return await read(count)
+
+            reader.read = read_slowly
+            await server._serve_connection(reader, writer)
+
+        listener = await asyncio.start_server(serve_slowly, "127.0.0.1", 0)
+        link = links.Link("{}:{}".format(*listener.sockets[0].getsockname()))
+        await platform_standins.wait_until(lambda: link.connected)
+        result = await link.call(KIND, bytes(size), 15.0)
+        await link.close()
+        listener.close()
+        return result, len(accepted)
+
+    result, accepted = run(scenario())
+    assert result.is_ok() and result.ok == b"%d" % size
+    assert accepted == 1
+
+
+def test_a_link_is_kept_while_parts_of_a_large_reply_arrive():
+    # Guards against large replies over slow connections that are cut off, because only whole
+    # replies count as data.
+    async def scenario():
+        async def reply_slowly(reader, writer):
+            request = (await frames.read_frame(reader)).ok
+            request.is_reply, request.code = True, int(codes.Code.OK)
+            request.payload = bytes(1 << 20)
+            frame = frames.encode_frame(request)
+            for start in range(0, len(frame), 50_000):
+                writer.write(frame[start : start + 50_000])
+                await asyncio.sleep(0.1)
+            writer.close()
+
+        listener = await asyncio.start_server(reply_slowly, "127.0.0.1", 0)
+        link = links.Link("{}:{}".format(*listener.sockets[0].getsockname()))
+        result = await link.call(KIND, b"", 5.0)
+        await link.close()
+        listener.close()
+        return result
+
+    result = run(scenario())
+    assert result.is_ok() and len(result.ok) == 1 << 20
