Read memory, descriptors, processors and bounds of roll-outs from the settings

Cause: the settings name the machine's memory, descriptors and processor, and whether operators order roll-outs, but a node did not read them. The budget of what callers make a process hold, the room of entry VMs and the exposure of an unaccepted version need them. Change: NodeSettings.memory_bytes, max_descriptors, processors and rollout (None without the contract), checked with the others; numbers of the message kinds that the new parts use. Result: chiveswitch/platform/boot_test.py, 4 passed; nothing uses the fields yet.

--- a/chiveswitch/core/node_settings.py
+++ b/chiveswitch/core/node_settings.py
@@ -3,6 +3,23 @@
 from chiveswitch.core import settings as settings_module
 
 
+class RolloutLimits:
+    """Bounds of the traffic that a version gets before it is accepted.
+
+    Attributes:
+        share: Largest share of a service's requests that an unaccepted version may get, 0 to 1.
+        slack: Number of requests that it may get in addition.
+        rollback_s: Seconds after enough bad responses from which on it must get no request.
+    """
+
+    __slots__ = ("share", "slack", "rollback_s")
+
+    def __init__(self, share: float, slack: int, rollback_s: float):
+        self.share = share
+        self.slack = slack
+        self.rollback_s = rollback_s
+
+
 class NodeSettings:
     """Settings of a node at its start. Addresses are `ip:port`.
 
@@ -29,6 +46,10 @@
         operator_secret: Secret from which the operator's signing key is derived.
         retry: `retry.ServiceRetryLimits` that all gateways together keep to.
         link_bytes_per_s: Rate of the machine's network link in bytes per second, 0 if unknown.
+        memory_bytes: Memory that the process may use, 0 if unknown.
+        max_descriptors: Number of file descriptors that the process may open, 0 if unknown.
+        processors: Processor time that the process may use in seconds per second, 0 if unknown.
+        rollout: `RolloutLimits`, or None if operators order no roll-outs of versions.
     """
 
     __slots__ = (
@@ -53,6 +74,10 @@
         "operator_secret",
         "retry",
         "link_bytes_per_s",
+        "memory_bytes",
+        "max_descriptors",
+        "processors",
+        "rollout",
     )
 
     def __init__(self, **fields):
@@ -77,7 +102,11 @@
     for name in ("heartbeat_s", "stop_grace_s", "address_ttl_s"):
         if getattr(settings, name) <= 0:
             errors.append(settings_module.setting_failure(name, "must be above 0"))
-    for name in ("losses", "link_bytes_per_s"):
+    for name in ("losses", "link_bytes_per_s", "memory_bytes", "max_descriptors", "processors"):
         if getattr(settings, name) < 0:
             errors.append(settings_module.setting_failure(name, "must not be negative"))
+    if settings.rollout is not None and not 0 < settings.rollout.share <= 1:
+        errors.append(
+            settings_module.setting_failure("rollout.share", "must be above 0, at most 1")
+        )
     return errors
--- a/chiveswitch/peers/kinds.py
+++ b/chiveswitch/peers/kinds.py
@@ -16,6 +16,8 @@
     CONTROL_PUBLISHED = 43
     CONTROL_JOIN = 44
     CONTROL_OWNER = 45
+    CONTROL_EVIDENCE = 46
+    CONTROL_ROLLOUTS = 47
     HUB_WATCH = 50
     HUB_REPORT = 51
     HUB_REPORT_RUNS = 52
@@ -23,4 +25,5 @@
     HUB_REPORT_LIMITS = 54
     HUB_QUOTA = 55
     HUB_LEAVES = 56
+    HUB_REPORT_SPEEDS = 57
     RUN_QUERY = 60
--- a/chiveswitch/platform/boot.py
+++ b/chiveswitch/platform/boot.py
@@ -24,7 +24,13 @@
 DEFAULT_WINDOW_SECONDS = 10
 DEFAULT_GRACE_SECONDS = 8
 DEFAULT_HEARTBEAT_MS = 1200
+DEFAULT_CANARY_SHARE = 0.1
+DEFAULT_CANARY_SLACK = 50
+DEFAULT_ROLLBACK_MS = 5000
 BYTES_PER_MEGABIT = 1e6 / 8
+BYTES_PER_MEGABYTE = 1_000_000
+# Name among the contracts by which the platform says that operators order roll-outs.
+ROLLOUT_CONTRACT = "rollout"
 
 
 def read_settings(environment=os.environ) -> expression.Result:
@@ -53,6 +59,7 @@
 
 def _decode(fields, environment):
     bounds = fields.get("bounds", {})
+    limits = fields.get("limits", {})
     listen = fields["listen"]
     own_ip = fields["ip"]
     peer_port = fields["internal-port-range"][0]
@@ -87,5 +94,20 @@
             bounds.get("budget-slack", DEFAULT_RETRY_SLACK),
             bounds.get("budget-window-s", DEFAULT_WINDOW_SECONDS),
         ),
-        link_bytes_per_s=float(fields.get("limits", {}).get("link-mbps", 0)) * BYTES_PER_MEGABIT,
+        link_bytes_per_s=float(limits.get("link-mbps", 0)) * BYTES_PER_MEGABIT,
+        memory_bytes=int(limits.get("memory-mb", 0) * BYTES_PER_MEGABYTE),
+        max_descriptors=int(limits.get("max-fds", 0)),
+        # The share is one of each core.
+        processors=float(limits.get("cpu-share", 0) * limits.get("cores", 1)),
+        rollout=_rollout_limits(fields.get("contracts", []), bounds),
+    )
+
+
+def _rollout_limits(contracts, bounds):
+    if ROLLOUT_CONTRACT not in contracts:
+        return None
+    return node_settings.RolloutLimits(
+        float(bounds.get("canary-share", DEFAULT_CANARY_SHARE)),
+        int(bounds.get("canary-slack", DEFAULT_CANARY_SLACK)),
+        bounds.get("rollback-ms", DEFAULT_ROLLBACK_MS) / 1000,
     )
--- a/chiveswitch/platform/boot_test.py
+++ b/chiveswitch/platform/boot_test.py
@@ -20,6 +20,10 @@
 ready = "10.0.0.1:8749"
 control = "10.0.0.1:8748"
 [limits]
+cpu-share = 0.688
+cores = 2
+memory-mb = 160
+max-fds = 4100
 link-mbps = 5.0
 [fault-tolerance]
 machines = 2
@@ -47,10 +51,23 @@
     assert (settings.metrics_address, settings.metrics_path) == ("10.0.0.1:9105", "/metrics")
     assert settings.directory_address == ""
     assert settings.link_bytes_per_s == 625_000.0
+    assert (settings.memory_bytes, settings.max_descriptors) == (160_000_000, 4100)
+    assert settings.processors == 1.376
+    assert settings.rollout is None
     limits = settings.retry
     assert (limits.ratio, limits.slack, limits.window_s) == (0.8, 150, 10)
 
 
+def test_bounds_of_rollouts_are_read_where_operators_order_them(tmp_path):
+    # Guards against roll-outs on a deployment that does not know them.
+    text = SETTINGS_FILE.replace("new-field = 7", 'contracts = ["base", "rollout"]')
+    settings = read_settings_text(tmp_path, text + "canary-share = 0.2\nrollback-ms = 4000\n").ok
+    rollout = settings.rollout
+    assert (rollout.share, rollout.slack, rollout.rollback_s) == (0.2, 50, 4.0)
+    errors = read_settings_text(tmp_path, text + "canary-share = 0.0\n").error
+    assert [error.code for error in errors] == [codes.Code.SETTING_INVALID]
+
+
 def test_every_error_is_returned(tmp_path):
     # Guards against a check that stops at the first of several errors.
     text = SETTINGS_FILE.replace('front = "10.0.0.1:8740"', 'front = "host:x"').replace("1200", "0")
