Carry the version of a target's software to all gateways

Gateways did not know which version a target runs, so that they could not tell a version that operators roll out from the accepted one. Announcements now state it where operators order roll-outs; elsewhere all messages keep their bytes, so that nodes of earlier versions understand them.

--- a/chiveswitch/core/target_table.py
+++ b/chiveswitch/core/target_table.py
@@ -47,6 +47,7 @@
             incarnations.
         sequence: Number that increases with each announcement of one incarnation.
         overdue: Whether the next announcement has not reached the hub in time.
+        version: Version of the target's software, or an empty string if it is not known.
     """
 
     __slots__ = (
@@ -59,10 +60,12 @@
         "born_ms",
         "sequence",
         "overdue",
+        "version",
     )
 
-    def __init__(self, **fields):
-        for name in self.__slots__:
+    def __init__(self, version: str = "", **fields):
+        self.version = version
+        for name in self.__slots__[:-1]:
             setattr(self, name, fields[name])
 
     def supersedes(self, other) -> bool:
@@ -281,8 +284,8 @@
             now: Current time in seconds.
 
         Returns:
-            Whether the report added or removed the target, or changed its state or its `overdue`
-            flag.
+            Whether the report added or removed the target, or changed its state, its version or its
+            `overdue` flag.
         """
         target_id = report.target_id
         is_overdue = report.overdue
@@ -343,10 +346,12 @@
             del self._tombstone_by_id[target_id]
             self._add(report, now)
             return True
-        has_changed = report.state != known.report.state
+        has_new_state = report.state != known.report.state
+        report.version = report.version or known.report.version
+        has_changed = has_new_state or report.version != known.report.version
         report.overdue = known.report.overdue
         known.report = report
-        if report.state == DRAINING and has_changed:
+        if report.state == DRAINING and has_new_state:
             self.on_draining_or_gone(target_id)
         return has_changed
 
--- a/chiveswitch/core/target_table_test.py
+++ b/chiveswitch/core/target_table_test.py
@@ -28,6 +28,15 @@
     return sorted(target.target_id for target in table.ready_targets("s"))
 
 
+def test_a_target_keeps_its_version_until_it_announces_another_one():
+    # Guards against requests to an unaccepted version after a report without one, such as the one
+    # that a gateway shares when a response says that its target leaves.
+    table = target_table.TargetTable()
+    for sequence, version, expected in ((1, "v1", "v1"), (2, "", "v1"), (3, "v2", "v2")):
+        table.apply_report("h", report(sequence=sequence, version=version), 1.0)
+        assert table.find("t").report.version == expected
+
+
 @hypothesis.given(
     strategies.permutations([(1, READY), (2, READY), (3, DRAINING), (4, GONE)]),
     strategies.integers(0, 4),
--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -198,11 +198,14 @@
             elif not new.replaces(old, old.overdue):
                 return
             stored.last_report_at = self.now()
-            is_unchanged = (old.state, old.address, old.service, old.born_ms) == (
+            if new.is_from_sender_of(old):
+                report.version = report.version or stored.report.version
+            is_unchanged = (old.state, old.address, old.service, old.born_ms, old.version) == (
                 new.state,
                 new.address,
                 new.service,
                 new.born_ms,
+                report.version or "",
             )
             if is_unchanged and not old.overdue and is_listed:
                 stored.report.sequence = report.sequence
@@ -529,6 +532,7 @@
         born_ms=report.born_ms,
         sequence=report.sequence,
         overdue=report.overdue,
+        version=report.version or None,
     )
 
 
@@ -544,4 +548,5 @@
         born_ms=record.born_ms,
         sequence=record.sequence,
         overdue=record.overdue,
+        version=record.version or "",
     )
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -1,11 +1,11 @@
 // Messages between nodes and hubs. A hub is a control member that publishes the reports sent to it.
 
 // The reports of one target are ordered by born_ms and then sequence. state: 0 ready, 1 draining,
-// 2 gone.
+// 2 gone. version: of the target's software, only where operators order roll-outs of versions.
 struct TargetReport { 1: required string target_id, 2: required string service_name,
   3: required string address, 4: required string availability_zone, 5: required i32 slots,
   6: required i32 state, 7: required i64 born_ms, 8: required i64 sequence,
-  9: required bool overdue }
+  9: required bool overdue, 10: optional string version }
 
 // Targets that drain or have gone: a leave that a hub passes to the other hubs before it acknowledges
 // it, or the leaves that a node knows and a hub that has started does not.
--- a/chiveswitch/peers/hub_test.py
+++ b/chiveswitch/peers/hub_test.py
@@ -212,6 +212,24 @@
     assert len(fixture.changes) == 1
 
 
+def test_a_changed_version_is_published_and_a_missing_one_keeps_the_stored_one():
+    # Guards against requests to an unaccepted version: gateways tell versions by these reports.
+    fixture = HubFixture()
+    for sequence, version in enumerate((None, "v1", None, "v1"), 1):
+        fixture.hub.record_target_report(target("a", sequence=sequence, version=version))
+    versions = [entry.report.version for entry in fixture.changes]
+    assert versions == [None, "v1"]
+    fixture.hub.record_target_report(target("a", sequence=9, state=target_table.DRAINING))
+    assert fixture.changes[-1].report.version == "v1"
+
+
+def test_a_report_without_version_is_encoded_as_in_earlier_versions():
+    # Guards against nodes of earlier versions that refuse all targets during a rolling update.
+    without = strict.encode(target())
+    assert strict.encode(hub.from_table_report(hub.to_table_report(target()))) == without
+    assert b"v1" not in without and len(strict.encode(target(version="v1"))) > len(without)
+
+
 def test_an_entry_that_cannot_be_encoded_costs_no_other_entry():
     # Guards against nodes that get no reports at all because of one entry.
     async def scenario():
--- a/chiveswitch/platform/api.py
+++ b/chiveswitch/platform/api.py
@@ -129,7 +129,8 @@
 @route("PUT", "instances")
 async def put_instance(node, request, responder, id_segments):
     """Applies a worker's heartbeat to the target table."""
-    decoded = documents.decode_heartbeat("/".join(id_segments), request.body)
+    has_version = node.settings.rollout is not None
+    decoded = documents.decode_heartbeat("/".join(id_segments), request.body, has_version)
     if decoded.is_error():
         node.log.line("node", "heartbeat_refused", reason=decoded.error.message[:200])
         _send_failure(responder, decoded.error)
--- a/chiveswitch/platform/documents.py
+++ b/chiveswitch/platform/documents.py
@@ -176,12 +176,14 @@
     return expression.Ok(bundle)
 
 
-def decode_heartbeat(worker_id: str, body: bytes) -> expression.Result:
+def decode_heartbeat(worker_id: str, body: bytes, has_version: bool = False) -> expression.Result:
     """Decodes a worker's heartbeat.
 
     Args:
         worker_id: Id of the worker, from the path of the request.
         body: JSON document.
+        has_version: Whether the report states the version of the worker's software. Earlier
+            versions of nodes do not understand such reports.
 
     Returns:
         Ok with a TargetReport, or BAD_REQUEST.
@@ -205,6 +207,7 @@
             born_ms=_carried(document, "born", "born_ms", 0),
             sequence=_carried(document, "sequence", "sequence"),
             overdue=False,
+            version=_version(document) if has_version else None,
         )
     except (orjson.JSONDecodeError, FieldError) as error:
         return codes.failure(codes.Code.BAD_REQUEST, f"the heartbeat is not valid: {error}")
@@ -218,6 +221,14 @@
     return value
 
 
+def _version(document):
+    """Returns the version of the worker's software, or None if it is missing."""
+    value = _field(document, "version", str, "")
+    if len(value) > MAX_NAME_LENGTH:
+        raise FieldError(f"version is longer than {MAX_NAME_LENGTH} characters")
+    return value or None
+
+
 def _address(document):
     """Returns `ip:port` as sent; it becomes a part of headers to other workers."""
     address = _text(document, "address")
--- a/chiveswitch/platform/documents_test.py
+++ b/chiveswitch/platform/documents_test.py
@@ -247,6 +247,20 @@
     return documents.decode_heartbeat("w", orjson.dumps({**HEARTBEAT, **changes}))
 
 
+def test_versions_of_workers_are_read_only_where_operators_order_rollouts():
+    # Guards against reports that nodes of earlier versions refuse, and against texts of any length
+    # in the answers to all nodes.
+    assert heartbeat().ok.version is None
+    for version, expected in (("v2", "v2"), ("", None), ("x" * 256, "x" * 256)):
+        body = orjson.dumps({**HEARTBEAT, "version": version})
+        assert documents.decode_heartbeat("w", body, True).ok.version == expected
+    for version in ("x" * 257, 2, None):
+        body = orjson.dumps({**HEARTBEAT, "version": version})
+        assert documents.decode_heartbeat("w", body, True).is_error()
+    body = orjson.dumps({name: HEARTBEAT[name] for name in HEARTBEAT if name != "version"})
+    assert documents.decode_heartbeat("w", body, True).ok.version is None
+
+
 def test_heartbeat_is_decoded_into_a_target_report():
     report = heartbeat(state="draining").ok
     assert (report.state, report.born_ms, report.sequence) == (target_table.DRAINING, 17, 3)
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -180,6 +180,7 @@
             "target_changed",
             target=report.target_id,
             service=report.service,
+            version=report.version,
             zone=report.availability_zone,
             address=report.address,
             state=report.state,
