Send requests only to versions that orders permit, and count evidence

A gateway sent requests to any ready target, also to those of a version that an operator has only begun to roll out. A policy now restricts each request to the versions that the latest orders permit, by a share that is drawn once for each request, and pools what callers would see of each version on each route. Copies of running streams move to the version that takes over. Without bounds of roll-outs in the settings nothing changes.

--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -52,7 +52,7 @@
             reason = f"{held_part} crashes engines"
             forwarder.fail_request(admitted, codes.Code.PROMPT_QUARANTINED, reason, quarantine_s)
             return
-        targets = forwarder.target_table.ready_targets(admitted.service.name)
+        targets = forwarder.ready_targets(admitted)
         return_after_s = await pauses.wait_for_end(forwarder, admitted, targets)
         if return_after_s:
             reason = "all targets have asked for a pause"
@@ -251,6 +251,7 @@
         reason = channel.failure_reason or f"no response in {attempt_timeout_s:.3f} s"
         channel.abort()
         target.record_outcome(True, now - started)
+        forwarder.record_answer(admitted, target, True)
         if is_broken or not channel.response.status:
             check = forwarder.check_target(target)
             if is_broken:
@@ -271,6 +272,8 @@
         return SendOutcome(None, True, f"rejected the request with status {response.status}")
     if not is_match or response.status in UNPROVEN_STATUSES:
         target.record_outcome(True, now - started)
+        if not response_info.is_misdirected:
+            forwarder.record_answer(admitted, target, True)
         return SendOutcome(
             None,
             False,
@@ -278,6 +281,7 @@
         )
     forwarder.record_beginning(admitted.parts, target)
     target.record_outcome(is_failure, now - started)
+    forwarder.record_answer(admitted, target, is_failure, now - started)
     return SendOutcome(response, False, f"answered {response.status}")
 
 
@@ -305,6 +309,7 @@
                 return
             if channel.failure_reason:
                 reason = channel.failure_reason
+                forwarder.record_answer(admitted, target, True)
             elif not await channel.wait_for_change(admitted.remaining_s()):
                 reason = "the deadline has passed"
     finally:
--- a/chiveswitch/forwarding/copies.py
+++ b/chiveswitch/forwarding/copies.py
@@ -16,6 +16,8 @@
 MIN_REMAINING_SECONDS = 0.8
 # Least seconds between two copy requests of one run.
 MIN_REQUEST_INTERVAL_SECONDS = 0.3
+# Time in seconds over which the copies of streams move to a version that takes over the requests.
+MOVE_SPREAD_SECONDS = 0.6
 # Longest wait in seconds for a copy to be freed. The engines drop the copy later in any case.
 RELEASE_TIMEOUT_SECONDS = 0.25
 # Responses to requests about copies have no header that identifies a request.
@@ -37,6 +39,7 @@
         "_run",
         "_publish",
         "_next_request_at",
+        "_move_at",
     )
 
     def __init__(self, forwarder, admitted, run, publish):
@@ -54,6 +57,7 @@
         self._run = run
         self._publish = publish
         self._next_request_at = clock.now()
+        self._move_at = None
 
     def choose_holder(self, target) -> str:
         """Chooses the engine that will hold the copy of a run, and stores it in the run.
@@ -91,9 +95,7 @@
             return None
         forwarder = self._forwarder
         now = clock.now()
-        ready = pauses.without_pause(
-            forwarder.target_table.ready_targets(self._admitted.service.name)
-        )
+        ready = pauses.without_pause(forwarder.copy_targets(self._admitted))
         # A stream that continues from its copy needs a grant at a target with a limit.
         without_limits = forwarder.limiter.without_limits(ready)
         loads = forwarder.run_table.load_by_target(now)
@@ -146,14 +148,29 @@
         engine = self._engine_settings()
         if engine is None or now < self._next_request_at or remaining_s < MIN_REMAINING_SECONDS:
             return False
-        if self._usable_holder(now) is None:
+        holder = self._usable_holder(now)
+        if holder is None:
             return True
+        if self._must_move(holder):
+            return self._is_move_due(now)
         refresh_after_s = engine.copy_kept_s * COPY_REFRESH_SHARE
         return (
             self.requested_copy_made_at is not None
             and now - self.requested_copy_made_at > refresh_after_s
         )
 
+    def _must_move(self, holder):
+        """Returns whether the copy must leave its holder because of the holder's version."""
+        service = self._admitted.service.name
+        return self._forwarder.versions.must_move_copy(service, holder.report.version)
+
+    def _is_move_due(self, now):
+        """Returns whether a copy that must leave its holder may be requested now."""
+        if self._move_at is None:
+            # All gateways learn of the order at about the same time.
+            self._move_at = now + MOVE_SPREAD_SECONDS * self._forwarder.rng.random()
+        return now >= self._move_at
+
     async def request_copy(self, target):
         """Makes the engine copy the run's memory to another engine while the run continues.
 
@@ -164,9 +181,13 @@
         started = clock.now()
         self._next_request_at = started + MIN_REQUEST_INTERVAL_SECONDS
         # A repeated request for the same holder copies only what was added since.
-        holder = self._usable_holder(started) if self.requested_copy_made_at is not None else None
+        known_holder = self._usable_holder(started)
+        must_move = known_holder is not None and self._must_move(known_holder)
+        holder = None
+        if self.requested_copy_made_at is not None and not must_move:
+            holder = known_holder
         holder = holder or self._select_holder(target)
-        if holder is None:
+        if holder is None or must_move and self._must_move(holder):
             return
         data = forwarder.dialect.encode_copy_request(run.run_id, target.address, holder.address)
         response = await self._send_request(target, data, COPY_TIMEOUT_SECONDS)
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -13,6 +13,7 @@
     prompt_quarantine,
     retry,
     routing,
+    versions,
 )
 from chiveswitch.forwarding import channel as channels
 from chiveswitch.forwarding import exchange, pauses, pool, rate_limiter
@@ -83,6 +84,7 @@
         may_have_run: Whether a target may have run it.
         target_id: Id of the target to which it was sent last, or an empty string.
         cut_timer: `asyncio.Timeout` that ends the request when the process stops.
+        version_draw: Draw by which a share of the requests goes to a version that is rolled out.
     """
 
     __slots__ = (
@@ -99,6 +101,7 @@
         "may_have_run",
         "target_id",
         "cut_timer",
+        "version_draw",
     )
 
     def __init__(self, request, responder, caller, bundle, route, service, account, deadline):
@@ -115,6 +118,7 @@
         self.may_have_run = False
         self.target_id = ""
         self.cut_timer = asyncio.timeout(None)
+        self.version_draw = versions.NO_SHARE_DRAW
 
     @property
     def priority(self) -> int:
@@ -173,6 +177,7 @@
         drain: `Drain` of a stopping process, or None.
         open_requests: Set of the `AdmittedRequest`s in progress.
         rng: Random number generator for the choice of services and targets.
+        versions: `versions.VersionPolicy` with the orders of versions.
     """
 
     __slots__ = (
@@ -198,6 +203,7 @@
         "drain",
         "open_requests",
         "rng",
+        "versions",
         "_pace_by_service",
         "_tasks",
         "_check_by_id",
@@ -235,6 +241,7 @@
         self.drain = None
         self.open_requests = set()
         self.rng = random.Random()
+        self.versions = versions.VersionPolicy(settings.rollout, self.rng, self._on_version_event)
         self.limiter = rate_limiter.RateLimiter(log, metrics, settings.name, self.spawn, self.rng)
         self.quarantine = prompt_quarantine.PromptQuarantine(
             self.rng, self._on_prompt_held, self._on_prompt_released
@@ -271,6 +278,7 @@
         """Puts a bundle in force and drops what was learned of services that it does not name."""
         self.bundle = bundle
         self.retry_budgets.retain_services(bundle.service_by_name)
+        self.versions.retain_services(bundle.service_by_name)
         for name in list(self._pace_by_service):
             if name not in bundle.service_by_name:
                 del self._pace_by_service[name]
@@ -441,15 +449,48 @@
             self.refuse(request, responder, caller, codes.Code.BAD_REQUEST, "missing request id")
             return
         name = admitted.service.name
-        if not self.target_table.ready_targets(name):
-            await self._wait_for_startup_data(
-                request, caller, lambda: self.target_table.ready_targets(name)
-            )
+        admitted.version_draw = self.versions.draw()
+        if not self.ready_targets(admitted):
+            await self._wait_for_startup_data(request, caller, lambda: self.ready_targets(admitted))
         self.metrics.count(f"requests_{route.kind}")
         self.retry_budgets.record_admission(name, clock.now())
         await self._serve_until_cut(admitted)
         self.metrics.observe(f"request_{route.kind}", clock.now() - request.received_at)
 
+    def ready_targets(self, admitted: AdmittedRequest) -> list:
+        """Returns the ready targets to which a request may be sent."""
+        name = admitted.service.name
+        # A repeat goes to accepted versions, so that a bad one fails a request only once.
+        draw = versions.NO_SHARE_DRAW if admitted.send_count else admitted.version_draw
+        targets = self.target_table.ready_targets(name)
+        return self.versions.eligible(name, targets, clock.now(), draw)
+
+    def copy_targets(self, admitted: AdmittedRequest) -> list:
+        """Returns the ready targets that may hold the copy of a stream."""
+        name = admitted.service.name
+        targets = self.target_table.ready_targets(name)
+        return self.versions.copy_targets(name, targets, clock.now())
+
+    def record_answer(
+        self, admitted: AdmittedRequest, target, failed: bool, seconds: float | None = None
+    ):
+        """Counts an answer as evidence about the target's version.
+
+        Args:
+            admitted: The request.
+            target: The `target_table.Target`.
+            failed: Whether it is a failure to a caller.
+            seconds: Time to the answer, or to the first event of a stream; None if it says nothing.
+        """
+        version = target.report.version
+        self.versions.record_answer(
+            admitted.service.name, version, admitted.route.name, failed, seconds
+        )
+
+    def _on_version_event(self, event, **fields):
+        self.metrics.count(event)
+        self.log.line("gateway", event, **fields)
+
     def begin_drain(self, drain: Drain):
         """Refuses requests that may last too long from now on."""
         self.drain = drain
@@ -673,6 +714,7 @@
     def record_sent(self, admitted: AdmittedRequest, target, **details):
         """Counts and logs a request that is sent to a target, with details of the route's kind."""
         self.limiter.record_sent(target)
+        self.versions.record_sent(admitted.service.name, target.report.version, admitted.route.name)
         admitted.target_id = target.target_id
         self.log.line(
             "gateway",
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -37,6 +37,8 @@
 # that the route permits. This failover costs more, because another engine has to read the whole
 # prompt again, or the caller has to return.
 FAILOVER_FACTOR_WITHOUT_COPY = 3.0
+# Multiple of the gap objective from which on a pause is evidence against an engine's version.
+FAILED_PAUSE_FACTOR = 3.0
 # Gap objective in seconds of routes that state none.
 DEFAULT_GAP_OBJECTIVE_SECONDS = 1.0
 # Equal requests of one client account beyond this number are not resumed from their copies, because
@@ -102,6 +104,7 @@
         quarantined_part: Part for which the present attempt is given up, or an empty string.
         limited_for_s: Seconds after which the limits of the targets are expected to permit the
             stream, 0 if they did not prevent the latest selection.
+        has_failed: Whether the present attempt is counted as a failure of the target's version.
     """
 
     __slots__ = (
@@ -124,6 +127,7 @@
         "sent_at",
         "quarantined_part",
         "limited_for_s",
+        "has_failed",
     )
 
     def __init__(self, forwarder, admitted):
@@ -159,6 +163,7 @@
         self.sent_at = now
         self.quarantined_part = ""
         self.limited_for_s = 0.0
+        self.has_failed = False
 
     def _identify_request(self):
         admitted, request, caller = self.admitted, self.admitted.request, self.admitted.caller
@@ -305,15 +310,16 @@
             self.resumes_from_copy = False
             holder = self.copy_manager.find_holder()
             is_usable = holder is not None and not pauses.is_paused(holder)
+            is_usable = is_usable and forwarder.versions.may_resume(
+                self.admitted.service.name, holder.report.version
+            )
             if is_usable and holder.target_id not in self.excluded_ids:
                 granted = await self._wait_for_grant(holder, [holder], lambda targets: None)
                 if granted is not None:
                     return granted, True
         targets = [
             each
-            for each in pauses.without_pause(
-                forwarder.target_table.ready_targets(self.admitted.service.name)
-            )
+            for each in pauses.without_pause(forwarder.ready_targets(self.admitted))
             if each.target_id not in self.excluded_ids
         ]
         loads = forwarder.run_table.load_by_target(clock.now())
@@ -452,6 +458,7 @@
         self.channel = channel
         self.attempt_event_count = 0
         self.quarantined_part = ""
+        self.has_failed = False
         self.forwarder.starting_streams.add(self)
         try:
             while True:
@@ -474,8 +481,10 @@
                     if count:
                         if got_events:
                             interval_estimate.observe((now - last_arrival_at) / count)
+                            self.record_pause(target, now - last_arrival_at)
                         else:
                             got_events = True
+                            self.record_first_event(target, now)
                             self.run.unprocessed_tokens = 0
                         target.record_contact(now)
                         self.count_events(target, count)
@@ -533,6 +542,32 @@
                 if task is not None:
                     task.cancel()
 
+    def record_first_event(self, target, now: float):
+        """Counts the time to the first event of a stream as evidence about the target's version."""
+        is_start = not self.delivered_count and self.admitted.caller.last_event_id is None
+        seconds = now - self.sent_at if is_start else None
+        self.forwarder.record_answer(self.admitted, target, False, seconds)
+
+    def record_pause(self, target, seconds: float):
+        """Counts a pause of the engine as evidence if it is a failure to the caller."""
+        if seconds > FAILED_PAUSE_FACTOR * self.max_gap_s:
+            self.record_failure(target)
+
+    def record_end(self, target, end: AttemptEnd):
+        """Counts the end of an attempt as evidence about the target's version."""
+        if end in (AttemptEnd.DELIVERED, AttemptEnd.REJECTED, AttemptEnd.QUARANTINED):
+            return
+        # The deadline may have passed because the caller did not read.
+        if end == AttemptEnd.EXPIRED and self.admitted.responder.unsent_bytes:
+            return
+        self.record_failure(target)
+
+    def record_failure(self, target):
+        """Counts the present attempt as failed, once."""
+        if not self.has_failed:
+            self.has_failed = True
+            self.forwarder.record_answer(self.admitted, target, True)
+
     def count_events(self, target, count: int):
         """Counts events of the present engine and records that it has begun to answer."""
         before, self.attempt_event_count = (
@@ -721,7 +756,7 @@
             reason = f"needs {least_s:.3f} s of {admitted.remaining_s():.3f} s"
             too_late = True
             break
-        targets = forwarder.target_table.ready_targets(admitted.service.name)
+        targets = forwarder.ready_targets(admitted)
         return_after_s = await pauses.wait_for_end(forwarder, admitted, targets)
         if return_after_s:
             reason = "all engines have asked for a pause"
@@ -757,6 +792,7 @@
         except BaseException:
             channel.abort()
             raise
+        stream.record_end(target, end)
         if end == AttemptEnd.DELIVERED:
             return
         now = clock.now()
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -442,6 +442,9 @@
         gauges["targets_limited"] = lambda: len(limiter.table.in_force())
         self.metrics.target_gauge_by_name["target_limit"] = limiter.limit_by_target
         self.metrics.target_gauge_by_name["target_limit_use"] = limiter.use_by_target
+        versions = self.forwarder.versions
+        gauges["versions_held"] = versions.count_held
+        gauges["rollout_share"] = lambda: versions.largest_share(clock.now())
         gauges["stream_moves_false"] = lambda: self.forwarder.detector.false_moves
 
     def _count_connections(self, state):
