--- a/chiveswitch/forwarding/copies.py
+++ b/chiveswitch/forwarding/copies.py
@@ -99,13 +99,19 @@
         # A stream that continues from its copy needs a grant at a target with a limit.
         without_limits = forwarder.limiter.without_limits(ready)
         loads = forwarder.run_table.load_by_target(now)
-        for candidates in (without_limits, ready):
-            holder = placement.choose_copy_target(
-                candidates, loads, engine, self._run.tokens, {target.zone}, now, forwarder.rng
+
+        def choose(candidates, avoided_zones):
+            return placement.choose_copy_target(
+                candidates, loads, engine, self._run.tokens, avoided_zones, now, forwarder.rng
             )
-            if holder is not None or len(candidates) == len(ready):
-                return holder
-        return None
+
+        holder = choose(without_limits, {target.zone})
+        if holder is None and len(without_limits) < len(ready):
+            holder = choose(ready, {target.zone})
+        if holder is None and self._must_move(target):
+            # The engine will stop before its zone is likely to fail.
+            holder = choose(ready, set())
+        return holder
 
     def find_holder(self):
         """Returns the engine that holds the copy, or None if it is gone, draining or restarted."""
@@ -159,10 +165,10 @@
             and now - self.requested_copy_made_at > refresh_after_s
         )
 
-    def _must_move(self, holder):
-        """Returns whether the copy must leave its holder because of the holder's version."""
+    def _must_move(self, target):
+        """Returns whether streams must leave a target because of its version."""
         service = self._admitted.service.name
-        return self._forwarder.versions.must_move_copy(service, holder.report.version)
+        return self._forwarder.versions.must_move_copy(service, target.report.version)
 
     def _is_move_due(self, now):
         """Returns whether a copy that must leave its holder may be requested now."""
