Keep requests off versions whose targets were stopped without leaving

A gateway that has missed a roll-out kept sending to the old targets while their last announcements were listed.

--- a/chiveswitch/core/versions.py
+++ b/chiveswitch/core/versions.py
@@ -12,7 +12,7 @@
 
 # Draw of a request that goes to accepted versions only.
 NO_SHARE_DRAW = 1.0
-# Seconds for which no target of another version was ready, after which a version that has not been
+# Seconds for which no target of another version was usable, after which a version that has not been
 # completed gets the requests in place of a refusal. A gateway that starts has the announcements of
 # all hubs by then.
 ALONE_SECONDS = 3.0
@@ -40,7 +40,7 @@
         retired: Versions that were accepted before the last completed order.
         held_by_version: Versions without an order that get nothing yet: the time in seconds at
             which each was first seen, and the number of accepted ready targets then.
-        seen_at_by_version: Time in seconds at which a target of each version was last ready.
+        seen_at_by_version: Time in seconds at which each version last had a usable target.
         known_since: Time in seconds of the first request.
         has_evidence: Whether answers are counted.
     """
@@ -120,15 +120,16 @@
         """Records which versions have ready targets."""
         if self.known_since is None:
             self.known_since = now
-        for version in targets_by_version:
-            self.seen_at_by_version[version] = now
+        for version, targets in targets_by_version.items():
+            if _has_usable(targets, now):
+                self.seen_at_by_version[version] = now
         if len(self.seen_at_by_version) > MAX_VERSIONS:
             oldest = min(self.seen_at_by_version, key=self.seen_at_by_version.get)
             del self.seen_at_by_version[oldest]
         self.has_evidence = self.running is not None or len(targets_by_version) > 1
 
     def is_alone(self, version: str, now: float) -> bool:
-        """Returns whether no other usable version was ready for `ALONE_SECONDS`."""
+        """Returns whether no other version had a usable target for `ALONE_SECONDS`."""
         others_seen_at = self.known_since
         for other, seen_at in self.seen_at_by_version.items():
             if other != version and not self.is_rolled_back(other):
@@ -343,7 +344,12 @@
             reason = self._reason_to_accept(service, known, version, accepted_count, now)
             if reason:
                 self._accept(service, known, version, reason)
-        return _join(usable[version] for version in usable if version in known.accepted)
+        accepted = _join(usable[version] for version in usable if version in known.accepted)
+        if _has_usable(accepted, now):
+            return accepted
+        # Targets that are stopped without leaving stay listed for a while.
+        others = _join(usable.values())
+        return others if _has_usable(others, now) else accepted
 
     def _reason_to_accept(self, service, known, version, accepted_count, now):
         """Returns why a version without an order is accepted, or an empty string."""
@@ -370,11 +376,14 @@
 
     # Evidence.
 
-    def record_sent(self, service: str, version: str, route: str):
-        """Counts a request that is sent to a target of a version."""
+    def record_sent(self, service: str, version: str, route: str) -> bool:
+        """Counts a request that is sent to a target; returns whether its version is on trial."""
         evidence = self._evidence(service, version, route)
         if evidence is not None:
             evidence.requests += 1
+        known = self._known_by_service.get(service)
+        order = None if known is None else known.running
+        return order is not None and order.version == version
 
     def record_answer(
         self, service: str, version: str, route: str, failed: bool, seconds: float | None = None
@@ -439,7 +448,10 @@
 
 
 def _has_usable(targets, now):
-    return any(target.avoided_until <= now for target in targets)
+    for target in targets:
+        if target.avoided_until <= now and not target.report.overdue:
+            return True
+    return False
 
 
 def _slots(targets):
--- a/chiveswitch/core/versions_test.py
+++ b/chiveswitch/core/versions_test.py
@@ -2,7 +2,9 @@
 
 import random
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from chiveswitch.core import node_settings, rollouts, target_table, versions
 
@@ -124,6 +126,30 @@
     assert chosen(policy, targets, 6.0, NEW) == "v1"
 
 
+@hypothesis.given(strategies.permutations(range(6)), strategies.integers(0, 5))
+def test_gateways_agree_whatever_order_the_steps_arrive_in(arrivals, repeated):
+    # Failure: hubs lag behind each other, and answers of several hubs overtake each other or arrive
+    # twice; a gateway would send to a version that others have left.
+    steps = [
+        order(step=1),
+        order(step=2, state=ROLLED_BACK, share=0.0),
+        order("v3", serial=8, step=1),
+        order("v3", serial=8, step=2, share=0.5),
+        order("v3", serial=8, step=3, share=1.0, moves=True),
+        order("v3", serial=8, step=4, state=COMPLETED, share=1.0),
+    ]
+    policy = make_policy()
+    targets = make_targets(v1=5, v2=4, v3=3)
+    chosen(policy, make_targets(v1=5))
+    rolled_back = False
+    for at in (*arrivals, repeated):
+        policy.apply_rollouts([steps[at]], 0.0)
+        rolled_back |= at == 1
+        versions_now = {chosen(policy, targets, 0.1, draw) for draw in (NEW, OLD)}
+        assert not (rolled_back and "v2" in versions_now)
+    assert versions_now == {"v3"}
+
+
 def test_an_older_step_changes_nothing():
     # Failure: a hub that lags sends the running step after another one has sent the roll-back.
     policy = make_policy(order())
@@ -159,6 +185,7 @@
     policy.apply_rollouts([order(state=COMPLETED, step=2, share=1.0)], 1.0)
     assert chosen(policy, targets, 1.1, OLD) == "v2"
     assert not policy.may_resume("s", "v1")
+    assert chosen(policy, targets, 1.2 + versions.UNORDERED_SECONDS, OLD) == "v2"
     # The next order starts from the completed version.
     policy.apply_rollouts([order("v3", serial=9)], 2.0)
     assert chosen(policy, make_targets(v1=1, v2=2, v3=2), 2.1, OLD) == "v2"
@@ -175,6 +202,16 @@
     assert chosen(policy, targets[3:], 0.3, OLD) == "v2"
 
 
+def test_a_sound_version_stands_in_for_lost_targets_also_without_word_from_control():
+    # Failure: a gateway is cut off from control before the completion stops the old targets.
+    policy = make_policy(order(share=1.0))
+    targets = make_targets(v1=3, v2=2)
+    assert chosen(policy, targets, 9.0, OLD) == "v1"
+    for target in targets[:3]:
+        target.avoided_until = 10.0
+    assert chosen(policy, targets, 9.1, OLD) == "v2"
+
+
 def test_a_share_is_kept_beside_a_lost_zone_of_old_targets():
     # Failure: a zone is lost with most of the old targets; the rest must not be relieved by a
     # version that may be bad.
@@ -195,6 +232,20 @@
     assert chosen(policy, make_targets(v2=2), 9.0 + versions.ALONE_SECONDS, OLD) == "v2"
 
 
+@pytest.mark.parametrize("states", [(), (order("v3", share=0.05, valid_for_s=99.0),)])
+def test_stopped_targets_do_not_keep_requests_from_the_version_that_replaced_them(states):
+    # Failure: a gateway has missed a whole roll-out; the old targets were stopped without leaving,
+    # and their last announcements are still listed.
+    policy = make_policy()
+    chosen(policy, make_targets(v1=2))
+    targets = make_targets(v1=2, v2=2)
+    assert chosen(policy, targets, 1.0) == "v1"
+    policy.apply_rollouts(list(states), 2.0)
+    for target in targets[:2]:
+        target.report.overdue = True
+    assert "v2" in chosen(policy, targets, 2.0, OLD)
+
+
 def test_an_order_for_the_only_version_refuses_nothing():
     # Failure: an operator orders the version that all targets have already.
     policy = make_policy()
@@ -247,6 +298,10 @@
     assert held_by == {"v2"}
     assert policy.must_move_copy("s", "v1") and not policy.must_move_copy("s", "v2")
     assert policy.may_resume("s", "v1") and policy.may_resume("s", "v2")
+    # The copies go ahead of the requests.
+    policy.apply_rollouts([order(step=3, share=0.5, moves=True)], 0.3)
+    held_by = {target.report.version for target in policy.copy_targets("s", targets, 0.4)}
+    assert held_by == {"v2"}
 
 
 def test_copies_of_streams_stay_at_accepted_versions_under_a_share():
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -714,7 +714,11 @@
     def record_sent(self, admitted: AdmittedRequest, target, **details):
         """Counts and logs a request that is sent to a target, with details of the route's kind."""
         self.limiter.record_sent(target)
-        self.versions.record_sent(admitted.service.name, target.report.version, admitted.route.name)
+        version = target.report.version
+        if self.versions.record_sent(admitted.service.name, version, admitted.route.name):
+            self.metrics.count("sent_on_trial")
+        if version:
+            details["version"] = version
         admitted.target_id = target.target_id
         self.log.line(
             "gateway",
