--- a/chiveswitch/core/versions.py
+++ b/chiveswitch/core/versions.py
@@ -306,9 +306,7 @@
     def _observe(self, service, targets, now):
         """Returns the service's `_ServiceVersions` and its ready targets by version."""
         known = self._service(service)
-        by_version = {}
-        for target in targets:
-            by_version.setdefault(target.report.version, []).append(target)
+        by_version = _group(targets)
         known.observe(by_version, now)
         return known, by_version
 
@@ -447,6 +445,21 @@
     return min(rollouts.LATENCY_BUCKETS - 1, math.ceil(steps - 1e-9))
 
 
+def _group(targets):
+    """Returns targets by version."""
+    version = targets[0].report.version
+    # Most of the time there is one version.
+    for target in targets:
+        if target.report.version != version:
+            break
+    else:
+        return {version: targets}
+    by_version = {}
+    for target in targets:
+        by_version.setdefault(target.report.version, []).append(target)
+    return by_version
+
+
 def _has_usable(targets, now):
     for target in targets:
         if target.avoided_until <= now and not target.report.overdue:
