List gateways by the room of their VMs

Cause: the directory listed all ready gateways of a zone alike, so a small VM got as many callers as a large one also when it was full, and a zone without room kept its callers. Change: each gateway measures the free share of its scarcest resource (core/rooms.py, tools/node_usage.py) and reports it while it is below one half; the directory lists such a gateway in fewer answers and adds other zones by need. Nothing is sent or drawn otherwise.

--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -257,6 +257,7 @@
     def data_received(self, data):
         """Feeds the parser. A malformed request is refused after earlier requests are answered."""
         self._last_active_at = clock.now()
+        self.server.transferred_bytes += len(data)
         if self._refusal_status is not None or self._ended_at is not None:
             return
         if self._request is None and not self._queued_requests and self._task is None:
@@ -413,6 +414,7 @@
         """Writes bytes to the transport unless the connection is closing."""
         if self._ended_at is None and not self._transport.is_closing():
             self._written_bytes += len(data)
+            self.server.transferred_bytes += len(data)
             self._transport.write(data)
 
     def close(self):
@@ -523,6 +525,7 @@
         max_body_bytes: Function (request head) that returns the largest size of the request's body.
         connections: Set of open connections.
         is_draining: Whether each connection is closed after its present response.
+        transferred_bytes: Bytes received from and written to callers since the start.
     """
 
     __slots__ = (
@@ -531,6 +534,7 @@
         "max_body_bytes",
         "connections",
         "is_draining",
+        "transferred_bytes",
         "_server",
         "_expiry_task",
     )
@@ -545,6 +549,7 @@
         self.max_body_bytes = max_body_bytes or (lambda request: self.limits().body_bytes)
         self.connections = set()
         self.is_draining = False
+        self.transferred_bytes = 0
         self._server = None
         self._expiry_task = None
 
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -16,10 +16,11 @@
 struct StoredLeave { 1: required TargetReport report, 2: required i64 reported_at_ms }
 struct StoredLeaves { 1: required list<binary> leaves }
 
-// state: 0 ready, 1 draining, 2 gone.
+// state: 0 ready, 1 draining, 2 gone. room: free share of the node's scarcest resource in thousandths,
+// missing unless the node is short of it.
 struct NodeReport { 1: required string name, 2: required i64 incarnation,
   3: required string availability_zone, 4: required string region, 5: required string caller_address,
-  6: required string peer_address, 7: required i32 state }
+  6: required string peer_address, 7: required i32 state, 8: optional i32 room }
 
 // Names the target that holds the memory of a run. sequence orders one node's reports of a run.
 // state: 0 active, 1 ended, 2 interrupted before the response was complete. Earlier versions had the
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -26,6 +26,7 @@
     metrics,
     placement,
     prompt_quarantine,
+    rooms,
     routing,
     target_table,
 )
@@ -41,7 +42,7 @@
     strict,
 )
 from chiveswitch.storage import data_folder, files
-from chiveswitch.tools import node_leaves, node_limits, node_view
+from chiveswitch.tools import node_leaves, node_limits, node_usage, node_view
 
 log = logging.getLogger("chiveswitch.node")
 
@@ -170,6 +171,8 @@
         "_was_ready",
         "_limit_exchange",
         "_leave_exchange",
+        "_room_meter",
+        "_usage_probe",
     )
 
     def __init__(self, settings, dialect, listeners: list):
@@ -241,6 +244,8 @@
         # Time from which requests of operators and others are refused, in seconds of `core.clock`.
         self._answers_until = math.inf
         self._was_ready = False
+        self._room_meter = rooms.RoomMeter(clock.now())
+        self._usage_probe = node_usage.UsageProbe(settings, self._caller_server, clock.now())
 
     # Start and stop.
 
@@ -432,6 +437,7 @@
         for state in http_server.CONNECTION_STATES:
             gauges[f"connections_{state}"] = functools.partial(self._count_connections, state)
         gauges["log_lines_dropped"] = lambda: self.log.dropped
+        gauges["room"] = lambda: self._room_meter.room
         gauges["hubs_reachable"] = lambda: len(self.watcher.reachable_hubs())
         gauges["prompts_in_quarantine"] = self.forwarder.quarantine.held_count
         if self.control is not None:
@@ -480,9 +486,11 @@
             return
         self.view.state = state
         self.log.line("node", "state", ready=int(ready), bundle=self.view.published.version)
-        report = self.view.node_report()
+        self._publish_own_report()
+
+    def _publish_own_report(self):
         if self.is_member():
-            self.hub.record_node_report(report)
+            self.hub.record_node_report(self.view.node_report())
         self.watcher.send_node_state()
 
     @property
@@ -649,9 +657,28 @@
             self.forwarder.quarantine.sweep(now)
             self.forwarder.limiter.sweep(gateway_count, now)
             self._limit_exchange.sweep(now)
+            self._update_room(now)
             self._update_state()
             self._update_members()
 
+    def _update_room(self, now):
+        usage = self._usage_probe.measure(now)
+        if not self._room_meter.observe(usage, now):
+            return
+        self.view.room_permille = self._room_meter.reported_permille
+        self.log.line(
+            "node",
+            "room",
+            room=self._room_meter.room,
+            listed=rooms.listing_share(self._room_meter.room),
+            scarcest=usage.scarcest(),
+            processor=usage.processor,
+            link=usage.link,
+            memory=usage.memory,
+            descriptors=usage.descriptors,
+        )
+        self._publish_own_report()
+
     def _update_members(self):
         if self.control is not None:
             self.control.node.stopping_addresses = self.view.stopping_addresses()
--- /dev/null
+++ b/chiveswitch/tools/node_usage.py
@@ -0,0 +1,67 @@
+"""Measures what a node uses of its VM: processor, network link, memory and descriptors."""
+
+import pathlib
+import resource
+import time
+
+from chiveswitch.core import rooms
+
+STATM_PATH = pathlib.Path("/proc/self/statm")
+# File descriptors that a VM reserves for files.
+RESERVED_DESCRIPTORS = 200
+# Each byte of a caller passes the link a second time, to or from a target.
+LINK_PASSES = 2
+# Periodic measurements that come later than this after the last one show a busy processor.
+INTERVAL_SECONDS = 1.0
+
+
+class UsageProbe:
+    """Measures the usage since the last measurement."""
+
+    __slots__ = ("_settings", "_server", "_measured_at", "_processor_s", "_bytes")
+
+    def __init__(self, settings, server, now: float):
+        """Starts to measure.
+
+        Args:
+            settings: `node_settings.NodeSettings` with the sizes of the VM.
+            server: The `http_server.Server` of callers.
+            now: Current time in seconds.
+        """
+        self._settings = settings
+        self._server = server
+        self._measured_at = now
+        self._processor_s = time.process_time()
+        self._bytes = server.transferred_bytes
+
+    def measure(self, now: float) -> rooms.Usage:
+        """Returns the `rooms.Usage` since the last call; it is called each `INTERVAL_SECONDS`."""
+        settings = self._settings
+        elapsed_s = max(now - self._measured_at, 1e-3)
+        processor_s, transferred = time.process_time(), self._server.transferred_bytes
+        processor = _share((processor_s - self._processor_s) / elapsed_s, settings.processors)
+        if settings.processors:
+            # A process that waits for the processor is late.
+            processor = max(processor, min(1.0, elapsed_s / INTERVAL_SECONDS - 1))
+        link = _share(
+            LINK_PASSES * (transferred - self._bytes) / elapsed_s, settings.link_bytes_per_s
+        )
+        self._measured_at = now
+        self._processor_s, self._bytes = processor_s, transferred
+        return rooms.Usage(
+            processor,
+            link,
+            _share(_resident_bytes(), settings.memory_bytes),
+            _share(len(self._server.connections), settings.max_descriptors - RESERVED_DESCRIPTORS),
+        )
+
+
+def _share(used, size):
+    return used / size if size > 0 else 0.0
+
+
+def _resident_bytes():
+    try:
+        return int(STATM_PATH.read_text(encoding="ascii").split()[1]) * resource.getpagesize()
+    except (OSError, IndexError, ValueError):
+        return 0
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -5,15 +5,15 @@
 
 import random
 
-from chiveswitch.core import clock, placement, routing
+from chiveswitch.core import clock, placement, rooms, routing
 from chiveswitch.peers import hub
 
 hub_thrift = hub.hub_thrift
 
 # Maximum number of addresses in the answer to a caller.
 MAX_ADDRESSES = 64
-# Maximum number of nodes of other zones in an answer with enough nodes of the caller's zone. They
-# serve the caller if all nodes of its zone fail.
+# Maximum number of nodes of other zones in an answer with enough nodes of the caller's zone that
+# have room. They serve the caller if all nodes of its zone fail.
 MAX_OTHER_ZONE_NODES = 2
 # If fewer nodes of the caller's zone are ready, the answer has the nodes of all zones alike.
 MIN_SAME_ZONE_NODES = 2
@@ -25,15 +25,17 @@
 
     Attributes:
         report: The first NodeReport of the current incarnation.
+        room: Room that the node reported last, 0 to 1; see `rooms`.
         state_by_hub: State of this incarnation as last reported, by hub address.
         was_ready: Whether a hub has reported this incarnation as ready.
         is_stopping: Whether a hub has reported it as draining after that.
     """
 
-    __slots__ = ("report", "state_by_hub", "was_ready", "is_stopping")
+    __slots__ = ("report", "room", "state_by_hub", "was_ready", "is_stopping")
 
     def __init__(self, report):
         self.report = report
+        self.room = 1.0
         self.state_by_hub = {}
         self.was_ready = False
         self.is_stopping = False
@@ -54,6 +56,7 @@
     Attributes:
         watcher: The `hub_watch.HubWatcher`; set after its creation.
         state: Own state, `hub.NODE_READY` or `hub.NODE_DRAINING`.
+        room_permille: Own room as reported, in thousandths, or None; see `rooms.RoomMeter`.
         published: `hub.PublishedBundle` with the bundle in force, of the highest version received.
         on_bundle: Called with each new `routing.RouteBundle`.
         on_prompt_report: Called with each received PromptReport of `hub_thrift`.
@@ -69,6 +72,7 @@
     __slots__ = (
         "watcher",
         "state",
+        "room_permille",
         "published",
         "on_bundle",
         "on_prompt_report",
@@ -89,6 +93,7 @@
     def __init__(self, settings, incarnation, table, runs, log, signer, on_bundle):
         self.watcher = None
         self.state = hub.NODE_DRAINING
+        self.room_permille = None
         self.published = hub.PublishedBundle()
         self.on_bundle = on_bundle
         self.on_prompt_report = lambda report: None
@@ -117,6 +122,7 @@
             caller_address=self._settings.caller_address,
             peer_address=self._settings.peer_address,
             state=self.state,
+            room=self.room_permille,
         )
 
     def known_version(self) -> int:
@@ -205,6 +211,7 @@
                 "node", "node_changed", name=report.name, state=report.state, hub=hub_address
             )
         entry.record_state(hub_address, report.state)
+        entry.room = 1.0 if report.room is None else report.room / rooms.PERMILLE
         if report.state == hub.NODE_GONE and report.name != self._settings.name:
             self._run_table.interrupt_runs_of(report.name, clock.now())
 
@@ -323,12 +330,32 @@
             if all(report.name != self._settings.name for report in ready):
                 ready.append(self.node_report())
         self._rng.shuffle(ready)
-        same_zone = [report for report in ready if report.availability_zone == zone]
+        room_by_address = {report.caller_address: self._room_of(report) for report in ready}
+        same_zone = {}
+        for report in ready:
+            if report.availability_zone == zone:
+                same_zone[report.caller_address] = room_by_address[report.caller_address]
         if len(same_zone) < MIN_SAME_ZONE_NODES:
-            return [report.caller_address for report in ready[:MAX_ADDRESSES]]
-        other_zones = [report for report in ready if report.availability_zone != zone]
-        other_zones.sort(key=lambda report: report.region != region)
-        chosen_reports = (
-            same_zone[: MAX_ADDRESSES - MAX_OTHER_ZONE_NODES] + other_zones[:MAX_OTHER_ZONE_NODES]
-        )
-        return [report.caller_address for report in chosen_reports]
+            listed, _ = rooms.draw_listed(room_by_address, MIN_SAME_ZONE_NODES, self._rng)
+            return listed[:MAX_ADDRESSES]
+        listed, spill_share = rooms.draw_listed(same_zone, MIN_SAME_ZONE_NODES, self._rng)
+        other_count = max(MAX_OTHER_ZONE_NODES, rooms.spill_count(len(listed), spill_share))
+        others = self._draw_other_zones(ready, room_by_address, zone, region, other_count)
+        return listed[: MAX_ADDRESSES - len(others)] + others
+
+    def _draw_other_zones(self, ready, room_by_address, zone, region, count):
+        """Returns addresses of nodes in other zones, those of the region first."""
+        count = min(count, MAX_ADDRESSES // 2)
+        drawn = []
+        for in_region in (True, False):
+            group = {}
+            for report in ready:
+                is_other = report.availability_zone != zone
+                if is_other and (report.region == region) == in_region:
+                    group[report.caller_address] = room_by_address[report.caller_address]
+            drawn += rooms.draw_others(group, count - len(drawn), self._rng)
+        return drawn
+
+    def _room_of(self, report):
+        entry = self._entry_by_name.get(report.name)
+        return 1.0 if entry is None else entry.room
--- a/chiveswitch/tools/node_view_test.py
+++ b/chiveswitch/tools/node_view_test.py
@@ -141,3 +141,36 @@
     assert prompts == [1, 1]
     logged = [call.args[1] for call in view._log.line.call_args_list]
     assert logged.count("report_skipped") == 2
+
+
+def zone_report(name, zone, room=None):
+    """Returns the report of a ready node in a zone."""
+    return thrift.NodeReport(
+        name=name,
+        incarnation=1,
+        availability_zone=zone,
+        region="r",
+        caller_address=f"{name}:80",
+        peer_address=f"{name}:90",
+        state=hub.NODE_READY,
+        room=room,
+    )
+
+
+def test_the_directory_lists_nodes_by_their_room():
+    # Load: a zone whose VMs are full beside one that is idle. Guards against room that is reported
+    # and not used, and against other zones that get callers although there is room.
+    view = new_view()
+    reports = [zone_report(f"a{i}", "a") for i in range(8)]
+    reports += [zone_report(f"b{i}", "b") for i in range(8)]
+    view.apply_node_reports("hub-1", reports)
+    answer = view.choose_addresses("a", "r")
+    assert sum(address.startswith("a") for address in answer) == 8
+    assert len(answer) == 8 + node_view.MAX_OTHER_ZONE_NODES
+    view.apply_node_reports("hub-1", [zone_report(f"a{i}", "a", room=125) for i in range(8)])
+    answers = [view.choose_addresses("a", "r") for _ in range(100)]
+    own_counts = [sum(address.startswith("a") for address in answer) for answer in answers]
+    assert 1.0 < sum(own_counts) / 100 < 4.0
+    assert min(len(answer) for answer in answers) >= 4
+    view.apply_node_reports("hub-1", [zone_report(f"a{i}", "a") for i in range(8)])
+    assert sum(address.startswith("a") for address in view.choose_addresses("a", "r")) == 8
