--- a/chiveswitch/tools/node_usage.py
+++ b/chiveswitch/tools/node_usage.py
@@ -2,7 +2,6 @@
 
 import pathlib
 import resource
-import time
 
 from chiveswitch.core import rooms
 
@@ -11,14 +10,16 @@
 RESERVED_DESCRIPTORS = 200
 # Each byte of a caller passes the link a second time, to or from a target.
 LINK_PASSES = 2
-# Periodic measurements that come later than this after the last one show a busy processor.
+# Time between two measurements, and the delay of one at which the processor counts as used up:
+# callers notice such a delay in each step of their requests.
 INTERVAL_SECONDS = 1.0
+FULL_DELAY_SECONDS = 0.2
 
 
 class UsageProbe:
     """Measures the usage since the last measurement."""
 
-    __slots__ = ("_settings", "_server", "_measured_at", "_processor_s", "_bytes")
+    __slots__ = ("_settings", "_server", "_measured_at", "_bytes")
 
     def __init__(self, settings, server, now: float):
         """Starts to measure.
@@ -31,25 +32,21 @@
         self._settings = settings
         self._server = server
         self._measured_at = now
-        self._processor_s = time.process_time()
         self._bytes = server.transferred_bytes
 
     def measure(self, now: float) -> rooms.Usage:
         """Returns the `rooms.Usage` since the last call; it is called each `INTERVAL_SECONDS`."""
         settings = self._settings
         elapsed_s = max(now - self._measured_at, 1e-3)
-        processor_s, transferred = time.process_time(), self._server.transferred_bytes
-        processor = _share((processor_s - self._processor_s) / elapsed_s, settings.processors)
-        if settings.processors:
-            # A process that waits for the processor is late.
-            processor = max(processor, min(1.0, elapsed_s / INTERVAL_SECONDS - 1))
+        transferred = self._server.transferred_bytes
+        delay_s = max(0.0, elapsed_s - INTERVAL_SECONDS)
         link = _share(
             LINK_PASSES * (transferred - self._bytes) / elapsed_s, settings.link_bytes_per_s
         )
         self._measured_at = now
-        self._processor_s, self._bytes = processor_s, transferred
+        self._bytes = transferred
         return rooms.Usage(
-            processor,
+            min(1.0, delay_s / FULL_DELAY_SECONDS),
             link,
             _share(_resident_bytes(), settings.memory_bytes),
             _share(len(self._server.connections), settings.max_descriptors - RESERVED_DESCRIPTORS),
