Admit calls to full services by grants at learned rates

Every gateway knocked at a full target until its rejections were used up, and refused callers came back into the same crowd. Gateways now learn from loads and rejections that all targets of a plain service are full, ask the issuer of the service for grants until the pressure ends, and refuse at once what cannot be served within its objective. The issuer adapts each target's rate to the loads that come with the requests, and puts calls that return after first attempts.

--- a/chiveswitch/core/quota.py
+++ b/chiveswitch/core/quota.py
@@ -50,9 +50,10 @@
         priority: Priority of the request; 0 is the most urgent.
         max_wait_s: Longest time in seconds that the request may wait before it is sent.
         is_resumed: Whether it continues a stream that was interrupted.
+        key: Number that is the same for all attempts of a caller at one request, 0 if unknown.
     """
 
-    __slots__ = ("rate_by_target", "account", "priority", "max_wait_s", "is_resumed")
+    __slots__ = ("rate_by_target", "account", "priority", "max_wait_s", "is_resumed", "key")
 
     def __init__(
         self,
@@ -61,12 +62,14 @@
         priority: int = 0,
         max_wait_s: float = 0.0,
         is_resumed: bool = False,
+        key: int = 0,
     ):
         self.rate_by_target = rate_by_target
         self.account = account
         self.priority = priority
         self.max_wait_s = max_wait_s
         self.is_resumed = is_resumed
+        self.key = key
 
 
 class QuotaGrant:
@@ -91,15 +94,17 @@
 
     Attributes:
         rate: QuotaGrants per second.
+        burst_s: Idle time in seconds whose unused grants are issued at once later.
         next_at: Time of the next spaced grant.
         overdraft_at: The same for grants of interrupted streams.
         used_at: Time of the last request.
     """
 
-    __slots__ = ("rate", "next_at", "overdraft_at", "used_at")
+    __slots__ = ("rate", "burst_s", "next_at", "overdraft_at", "used_at")
 
-    def __init__(self, rate, next_at, now):
+    def __init__(self, rate, burst_s, next_at, now):
         self.rate = rate
+        self.burst_s = burst_s
         self.next_at = next_at
         self.overdraft_at = now
         self.used_at = now
@@ -113,7 +118,7 @@
 
     def delay(self, now):
         """Returns the seconds until the next spaced grant."""
-        return max(0.0, self.next_at - BURST_SECONDS - now)
+        return max(0.0, self.next_at - self.burst_s - now)
 
     def take(self, now):
         self.next_at = max(self.next_at, now) + 1 / self.rate
@@ -210,12 +215,14 @@
     Attributes:
         share: Share of each limit that is issued. An issuer with less than all of it begins
             without a grant, because others may just have issued theirs.
+        burst_s: Idle time in seconds of a target whose unused grants are issued at once later.
     """
 
-    __slots__ = ("share", "_schedule_by_target", "_demand_by_service", "_rng")
+    __slots__ = ("share", "burst_s", "_schedule_by_target", "_demand_by_service", "_rng")
 
-    def __init__(self, rng: random.Random, share: float = 1.0):
+    def __init__(self, rng: random.Random, share: float = 1.0, burst_s: float = BURST_SECONDS):
         self.share = share
+        self.burst_s = burst_s
         self._schedule_by_target = {}
         self._demand_by_service = {}
         self._rng = rng
@@ -257,8 +264,9 @@
         if schedule is None:
             next_at = now
             if self.share < 1 or limit < 1 / TRIAL_SECONDS:
-                next_at = now + BURST_SECONDS + 1 / rate
-            schedule = self._schedule_by_target[target_id] = _Schedule(rate, next_at, now)
+                next_at = now + self.burst_s + 1 / rate
+            schedule = _Schedule(rate, self.burst_s, next_at, now)
+            self._schedule_by_target[target_id] = schedule
         schedule.set_rate(rate, now)
         return schedule
 
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -60,7 +60,15 @@
             return
         available = pauses.without_pause(targets)
         untried = [each for each in available if each.target_id not in excluded_ids]
-        target, retry_after_s = await _select_target(forwarder, admitted, untried)
+        if untried and forwarder.overload.applies_to(admitted, available):
+            target, retry_after_s = await _select_admitted(forwarder, admitted, untried)
+            if retry_after_s:
+                reason = "all targets of the service are full"
+                code = codes.Code.SERVICE_OVERLOADED
+                forwarder.fail_request(admitted, code, reason, retry_after_s)
+                return
+        else:
+            target, retry_after_s = await _select_target(forwarder, admitted, untried)
         if target is None and retry_after_s and not forwarder.limiter.without_limits(targets):
             reason = "the limits of all targets are used up"
             forwarder.fail_request(admitted, codes.Code.TARGETS_LIMITED, reason, retry_after_s)
@@ -141,6 +149,15 @@
     forwarder.fail_request(admitted, code, reason, REJECTED_RETRY_AFTER_SECONDS)
 
 
+async def _select_admitted(forwarder, admitted, targets):
+    """Selects one of some full targets like `_select_target`, with a grant for its room."""
+
+    def choose(candidates):
+        return placement.choose_target(candidates, forwarder.zone, clock.now(), forwarder.rng)
+
+    return await forwarder.overload.select_granted(admitted, targets, choose)
+
+
 async def _select_target(forwarder, admitted, targets):
     """Selects a target and waits for its grant if it has a limit.
 
@@ -257,6 +274,8 @@
                 await forwarder.report_crash_if_lost(admitted, target, check, channel)
         return SendOutcome(None, False, reason)
     is_failure = response.status >= 500
+    if is_match:
+        forwarder.overload.observe_response(admitted, target, response_info, is_failure, started)
     if response_info.not_run or is_failure:
         channel.answered_ids.add(admitted.caller.request_id)
     if not is_match:
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -15,7 +15,7 @@
     routing,
 )
 from chiveswitch.forwarding import channel as channels
-from chiveswitch.forwarding import exchange, pauses, pool, rate_limiter
+from chiveswitch.forwarding import exchange, overload_guard, pauses, pool, rate_limiter
 
 # Time in seconds for which a caller that states no deadline is assumed to wait. The route's timeout
 # applies as well.
@@ -163,6 +163,7 @@
         report_prompt: Function that is called with each `prompt_quarantine.Report` for the other
             gateways.
         limiter: `rate_limiter.RateLimiter` with the limits that targets name.
+        overload: `overload_guard.OverloadGuard` of services whose targets are full.
         fetch_run_status: Coroutine function that returns the `placement.RunStatus` of another
             gateway's run.
         open_streams: Streams whose callers are present; each has `run`.
@@ -191,6 +192,7 @@
         "quarantine",
         "report_prompt",
         "limiter",
+        "overload",
         "fetch_run_status",
         "open_streams",
         "report_leaving",
@@ -236,6 +238,9 @@
         self.open_requests = set()
         self.rng = random.Random()
         self.limiter = rate_limiter.RateLimiter(log, metrics, settings.name, self.spawn, self.rng)
+        self.overload = overload_guard.OverloadGuard(
+            log, metrics, self.spawn, self.rng, self.limiter
+        )
         self.quarantine = prompt_quarantine.PromptQuarantine(
             self.rng, self._on_prompt_held, self._on_prompt_released
         )
--- a/chiveswitch/forwarding/rate_limiter.py
+++ b/chiveswitch/forwarding/rate_limiter.py
@@ -7,19 +7,13 @@
 """
 
 import asyncio
-import logging
 import math
 
 from chiveswitch.core import clock, quota, rate_limits, retry
-
-log = logging.getLogger("chiveswitch.forwarding")
+from chiveswitch.forwarding import grant_requester
 
 # Largest number of targets among which the issuer chooses for one request.
 MAX_CANDIDATES = 8
-# Largest number of requests in one message to the issuer.
-MAX_BATCH = 64
-# Time after a failed request to the issuer in which the gateway uses its own share.
-ISSUER_RETRY_SECONDS = 0.5
 # Number of gateways that is assumed until they are known.
 ASSUMED_GATEWAYS = 10
 # Window over which the requests to targets with a limit are counted for the metrics.
@@ -28,31 +22,15 @@
 MAX_METRIC_TARGETS = 50
 
 
-class RateLimiter:
+class RateLimiter(grant_requester.GrantRequester):
     """Limits known to one gateway, and its requests for grants.
 
     Attributes:
         table: `rate_limits.RateLimitTable`.
         report: Function that is called with each `rate_limits.Report` for the other gateways.
-        issue: Coroutine function (service, list of `quota.QuotaRequest`) that returns the list
-            of `quota.QuotaGrant` of the service's issuer, or None if there is none; None if this
-            gateway is the only one.
     """
 
-    __slots__ = (
-        "table",
-        "report",
-        "issue",
-        "_own_issuer",
-        "_waiting_by_service",
-        "_failed_at_by_service",
-        "_count_by_target",
-        "_spawn",
-        "_rng",
-        "_log",
-        "_metrics",
-        "_node_name",
-    )
+    __slots__ = ("table", "report", "_count_by_target", "_node_name")
 
     def __init__(self, log, metrics, node_name: str, spawn, rng):
         """Creates a limiter without limits.
@@ -64,18 +42,10 @@
             spawn: Function that runs a coroutine as a task.
             rng: Random number generator.
         """
+        super().__init__(log, metrics, spawn, quota.QuotaIssuer(rng))
         self.table = rate_limits.RateLimitTable(self._on_changed)
         self.report = lambda report: None
-        self.issue = None
-        self._own_issuer = quota.QuotaIssuer(rng)
-        # (request, future) pairs of services whose issuer is being asked.
-        self._waiting_by_service = {}
-        self._failed_at_by_service = {}
         self._count_by_target = {}
-        self._spawn = spawn
-        self._rng = rng
-        self._log = log
-        self._metrics = metrics
         self._node_name = node_name
 
     # Knowledge of limits.
@@ -84,6 +54,10 @@
         """Returns whether a `target_table.Target` has a limit."""
         return self.table.rate_of(target, clock.now()) is not None
 
+    def any_limited(self, targets: list) -> bool:
+        """Returns whether any of the targets has a limit."""
+        return any(self.is_limited(target) for target in targets)
+
     def without_limits(self, targets: list) -> list:
         """Returns the targets that have no limit."""
         return [target for target in targets if not self.is_limited(target)]
@@ -123,10 +97,7 @@
         if self.issue is not None:
             self._own_issuer.share = 1 / max(2, gateway_count)
         self.table.sweep(now)
-        self._own_issuer.sweep(now)
-        for service, failed_at in list(self._failed_at_by_service.items()):
-            if now - failed_at >= ISSUER_RETRY_SECONDS:
-                del self._failed_at_by_service[service]
+        self.sweep_requests(now)
         for target_id, count in list(self._count_by_target.items()):
             if not count.total(now):
                 del self._count_by_target[target_id]
@@ -188,7 +159,7 @@
             0.0 if free else max(0.0, max_wait_s),
             is_resumed,
         )
-        grant = await self._request_grant(admitted.service.name, request)
+        grant = await self.request_grant(admitted.service.name, request)
         target_by_id = {target.target_id: target for target in targets}
         if grant.target_id:
             if grant.delay_s > 0:
@@ -213,7 +184,7 @@
         if rate is None:
             return True
         request = quota.QuotaRequest({target.target_id: rate}, admitted.account or "")
-        grant = await self._request_grant(admitted.service.name, request)
+        grant = await self.request_grant(admitted.service.name, request)
         return grant.target_id == target.target_id
 
     def record_sent(self, target):
@@ -239,47 +210,6 @@
             left=admitted.remaining_s(),
         )
 
-    async def _request_grant(self, service, request):
-        now = clock.now()
-        failed_at = self._failed_at_by_service.get(service)
-        is_failing = failed_at is not None and now - failed_at < ISSUER_RETRY_SECONDS
-        if self.issue is None or is_failing:
-            return self._own_issuer.request(service, request, now)
-        future = asyncio.get_running_loop().create_future()
-        waiting = self._waiting_by_service.get(service)
-        if waiting is not None:
-            waiting.append((request, future))
-        else:
-            self._waiting_by_service[service] = [(request, future)]
-            self._spawn(self._ask_issuer(service))
-        return await future
-
-    async def _ask_issuer(self, service):
-        """Asks the issuer until no request for a grant is left."""
-        while waiting := self._waiting_by_service[service]:
-            batch, self._waiting_by_service[service] = waiting[:MAX_BATCH], waiting[MAX_BATCH:]
-            try:
-                answers = await self.issue(service, [request for request, _ in batch])
-            # The waiting requests must get an answer in any case.
-            except Exception:
-                log.exception("gateway: the issuer of %s could not be asked", service)
-                answers = None
-            if answers is None or len(answers) != len(batch):
-                batch += self._waiting_by_service[service]
-                self._waiting_by_service[service] = []
-                answers = self._issue_own_share(service, batch)
-            for (_, future), grant in zip(batch, answers, strict=True):
-                if not future.done():
-                    future.set_result(grant)
-        del self._waiting_by_service[service]
-
-    def _issue_own_share(self, service, batch):
-        now = clock.now()
-        self._failed_at_by_service[service] = now
-        self._metrics.count("quota_without_issuer", len(batch))
-        self._log.line("gateway", "issuer_failed", service=service, requests=len(batch))
-        return [self._own_issuer.request(service, request, now) for request, _ in batch]
-
     # Metrics.
 
     def limit_by_target(self) -> dict:
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -50,11 +50,18 @@
   4: required double rate, 5: required i64 age_ms, 6: required i64 since_ms, 7: required string source }
 struct LimitReports { 1: required list<LimitReport> reports }
 
-// Requests for grants to send to targets with a limit. A grant without target is refused.
+// What a response said about the room of a target. age_ms: time since the response.
+struct TargetLoad { 1: required string target_id, 2: required i32 running, 3: required i32 waiting,
+  4: required i32 slots, 5: required i32 age_ms }
+
+// Requests for grants to send to targets with a limit, or with `loads` to targets that are full, whose
+// rates are then those of the usual work time. A grant without target is refused. key: the same for all
+// attempts of a caller at one request.
 struct QuotaTarget { 1: required string target_id, 2: required double rate }
 struct QuotaRequest { 1: required list<QuotaTarget> targets, 2: required string account,
-  3: required i32 priority, 4: required i32 max_wait_ms, 5: required bool resumed }
-struct QuotaRequests { 1: required string service_name, 2: required list<QuotaRequest> requests }
+  3: required i32 priority, 4: required i32 max_wait_ms, 5: required bool resumed, 6: optional i64 key }
+struct QuotaRequests { 1: required string service_name, 2: required list<QuotaRequest> requests,
+  3: optional list<TargetLoad> loads }
 struct QuotaGrant { 1: required string target_id, 2: required i32 delay_ms, 3: required i32 retry_after_ms }
 struct QuotaGrants { 1: required list<QuotaGrant> grants }
 
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -439,6 +439,7 @@
             gauges["control_voters"] = lambda: len(node.log.configuration().voters)
             gauges["control_learners"] = lambda: len(node.log.configuration().learners)
         limiter = self.forwarder.limiter
+        gauges["services_overloaded"] = self.forwarder.overload.table.count_pressed
         gauges["targets_limited"] = lambda: len(limiter.table.in_force())
         self.metrics.target_gauge_by_name["target_limit"] = limiter.limit_by_target
         self.metrics.target_gauge_by_name["target_limit_use"] = limiter.use_by_target
@@ -541,6 +542,7 @@
         self.forwarder.pool.close_target(target_id)
         self.forwarder.detector.forget_engine(target_id)
         self.forwarder.limiter.forget(target_id)
+        self.forwarder.overload.table.forget(target_id)
 
     def _report_run(self, run):
         report = hub.hub_thrift.RunReport(
@@ -648,6 +650,7 @@
             self.forwarder.quarantine.gateway_count = gateway_count
             self.forwarder.quarantine.sweep(now)
             self.forwarder.limiter.sweep(gateway_count, now)
+            self.forwarder.overload.sweep(gateway_count, now)
             self._limit_exchange.sweep(now)
             self._update_state()
             self._update_members()
--- a/chiveswitch/tools/node_limits.py
+++ b/chiveswitch/tools/node_limits.py
@@ -8,13 +8,15 @@
 
 import expression
 
-from chiveswitch.core import clock, codes, quota, rate_limits
+from chiveswitch.core import clock, codes, overload, quota, rate_limits
 from chiveswitch.peers import hub, kinds, strict
 
 hub_thrift = hub.hub_thrift
 
 # Timeout in seconds of a request for grants. The gateway uses its own share of a limit after that.
 QUOTA_TIMEOUT_SECONDS = 0.15
+# Largest count of a target's requests that a message may state.
+MAX_COUNT = 100_000
 # Seconds without contact to the control leader after which a hub issues no grants: the hub may be
 # cut off from the gateways, which then ask another one.
 MAX_LEADER_SILENCE_SECONDS = 2.0
@@ -27,7 +29,7 @@
         handler_by_kind: Handlers of the messages of other nodes, by kind.
     """
 
-    __slots__ = ("handler_by_kind", "_node", "_issuer")
+    __slots__ = ("handler_by_kind", "_node", "_issuer", "_overload_issuer")
 
     def __init__(self, node, rng):
         """Connects the limiter of a node's gateway with the hubs.
@@ -42,13 +44,16 @@
         }
         self._node = node
         self._issuer = quota.QuotaIssuer(rng)
+        self._overload_issuer = overload.OverloadIssuer(rng)
         node.forwarder.limiter.connect(self._request_grants, self._report_limit)
+        node.forwarder.overload.connect(self._request_grants)
         node.view.on_limit_report = self._apply_report
         node.view.own_limits = self._own_limits
 
     def sweep(self, now: float):
         """Drops what the issuer has not used lately."""
         self._issuer.sweep(now)
+        self._overload_issuer.sweep(now)
 
     # Reports of limits.
 
@@ -100,18 +105,24 @@
             addresses.append(node.settings.peer_address)
         return quota.choose_issuer(service, addresses) if addresses else ""
 
-    async def _request_grants(self, service, requests):
-        """Returns the list of `quota.QuotaGrant` for some `quota.QuotaRequest`, or None."""
+    async def _request_grants(self, service, requests, loads=None):
+        """Returns the list of `quota.QuotaGrant` for some `quota.QuotaRequest`, or None.
+
+        Args:
+            service: Service of the targets.
+            requests: List of `quota.QuotaRequest`.
+            loads: List of `overload.Load` if the targets are full, None if they name limits.
+        """
         address = self._issuer_address(service)
         if not address:
             return None
         if address == self._node.settings.peer_address:
-            return self._issue(service, requests)
-        message = encode_requests(service, requests)
+            return self._issue(service, requests, loads)
+        message = encode_requests(service, requests, loads)
         result = await self._node.watcher.request_grants(address, message, QUOTA_TIMEOUT_SECONDS)
         return [_decode_grant(each) for each in result.ok] if result.is_ok() else None
 
-    def _issue(self, service, requests):
+    def _issue(self, service, requests, loads):
         """Returns the grants for a list of `quota.QuotaRequest`, or None if not responsible."""
         node = self._node
         now = clock.now()
@@ -121,7 +132,12 @@
             node.log.line("hub", "quota_refused", service=service, leader_silence=silence_s)
             return None
         issued = []
+        if loads is not None:
+            self._overload_issuer.observe(loads, now)
         for request in requests:
+            if loads is not None:
+                issued.append(self._overload_issuer.request(service, request, now))
+                continue
             self._update_rates(request, now)
             issued.append(self._issuer.request(service, request, now))
         granted_count = sum(bool(grant.target_id) for grant in issued)
@@ -143,9 +159,9 @@
         decoded = strict.decode(hub_thrift.QuotaRequests, payload)
         if decoded.is_error():
             return decoded
-        requests = decode_requests(decoded.ok)
+        requests, loads = decode_requests(decoded.ok), decode_loads(decoded.ok)
         service = decoded.ok.service_name
-        issued = self._issue(service, requests) if self._node.is_member() else None
+        issued = self._issue(service, requests, loads) if self._node.is_member() else None
         if issued is None:
             return codes.failure(codes.Code.NOT_LEADER, "This node does not issue these grants.")
         return expression.Ok(encode_grants(issued))
@@ -174,13 +190,48 @@
         priority=request.priority,
         max_wait_ms=int(request.max_wait_s * hub.MS_PER_SECOND),
         resumed=request.is_resumed,
+        key=request.key or None,
+    )
+
+
+def _encode_load(load):
+    return hub_thrift.TargetLoad(
+        target_id=load.target_id,
+        running=load.running,
+        waiting=load.waiting,
+        slots=load.slots,
+        age_ms=int((clock.now() - load.at) * hub.MS_PER_SECOND),
     )
 
 
-def encode_requests(service: str, requests: list) -> bytes:
-    """Returns the message with a list of `quota.QuotaRequest` for a service's targets."""
-    wire_requests = [_encode_request(request) for request in requests]
-    return strict.encode(hub_thrift.QuotaRequests(service_name=service, requests=wire_requests))
+def encode_requests(service: str, requests: list, loads: list | None = None) -> bytes:
+    """Returns the message with a list of `quota.QuotaRequest` for a service's targets.
+
+    Args:
+        service: Name of the service.
+        requests: The requests.
+        loads: List of `overload.Load` if the targets are full, None if they name limits.
+    """
+    message = hub_thrift.QuotaRequests(
+        service_name=service, requests=[_encode_request(request) for request in requests]
+    )
+    if loads is not None:
+        message.loads = [_encode_load(load) for load in loads]
+    return strict.encode(message)
+
+
+def decode_loads(message) -> list | None:
+    """Returns the `overload.Load` list of a decoded QuotaRequests of `hub_thrift`, or None."""
+    if message.loads is None:
+        return None
+    now = clock.now()
+    loads = []
+    for each in message.loads:
+        at = now - max(0, each.age_ms) / hub.MS_PER_SECOND
+        counts = [min(max(0, count), MAX_COUNT) for count in (each.running, each.waiting)]
+        slots = min(max(1, each.slots), MAX_COUNT)
+        loads.append(overload.Load(each.target_id, *counts, slots, at))
+    return loads
 
 
 def decode_requests(message) -> list:
@@ -204,6 +255,7 @@
         wire_request.priority,
         wire_request.max_wait_ms / hub.MS_PER_SECOND,
         wire_request.resumed,
+        wire_request.key or 0,
     )
 
 
