--- a/chiveswitch/core/overload.py
+++ b/chiveswitch/core/overload.py
@@ -28,6 +28,8 @@
 # Share of the time until the caller's deadline after which it returns at the latest. Callers do not
 # wait longer.
 MAX_RETURN_SHARE = 1 / 3
+# Least time in seconds until a deadline that is assumed when a caller is told to return.
+MIN_LEFT_SECONDS = 0.1
 # Limit of the services and targets that are remembered.
 MAX_ENTRIES = 4096
 
@@ -242,7 +244,7 @@
         left_s: Seconds until the caller's deadline.
         rng: Random source.
     """
-    latest_s = MAX_RETURN_SHARE * left_s
+    latest_s = MAX_RETURN_SHARE * max(left_s, MIN_LEFT_SECONDS)
     return rng.uniform(min(max(retry_after_s, latest_s / 2), latest_s), latest_s)
 
 
--- a/chiveswitch/core/overload_test.py
+++ b/chiveswitch/core/overload_test.py
@@ -188,3 +188,150 @@
     crowd.run(8.0)
     del crowd.targets[1:]
     return crowd
+
+
+def test_calls_that_fit_are_served_in_their_aim_and_few_are_rejected():
+    # Load: 160 calls/s of 65 gateways to three targets of which one is left, which can serve 133/s.
+    crowd = shrunk_crowd(160.0)
+    target = crowd.targets[0]
+    rejected_before = target.rejections
+    crowd.run(22.0)
+    _, served = crowd.in_aim(8.0, 20.0)
+    assert served > 0.8 * 12.0 * SLOTS / WORK_SECONDS
+    # A gateway learns of the crowd by one rejection at most.
+    assert target.rejections - rejected_before < GATEWAYS
+
+
+def test_the_queue_stays_as_short_as_the_objective_requires():
+    # Load: 200 calls/s to one target; a full queue alone takes most of the objective.
+    crowd = shrunk_crowd(200.0)
+    lengths = []
+    for step in range(100):
+        crowd.run(10.0 + step / 10)
+        lengths.append(len(crowd.targets[0].queue))
+    lengths.sort()
+    assert lengths[90] * WORK_SECONDS / SLOTS < OBJECTIVE_SECONDS / 2
+
+
+def test_slots_are_in_use_while_calls_are_refused():
+    # Load: 200 calls/s to one target. Room that is left unused is refused to callers in vain.
+    crowd = shrunk_crowd(200.0)
+    arrivals_before = crowd.targets[0].arrivals
+    crowd.run(20.0)
+    arrived = crowd.targets[0].arrivals - arrivals_before
+    assert arrived > 0.9 * 12.0 * SLOTS / WORK_SECONDS
+
+
+def test_targets_with_room_need_no_grants():
+    # Load: 130 calls/s to three targets that can serve 400/s.
+    crowd = Crowd(3)
+    crowd.add_calls(130.0, 0.0, 20.0)
+    crowd.run(22.0)
+    assert crowd.asked == 0
+
+
+def test_one_full_target_beside_others_with_room_needs_no_grants():
+    # Load: one target rejects everything while two others have room.
+    crowd = Crowd(3)
+    crowd.targets[0].running = SLOTS
+    crowd.targets[0].queue = [lambda is_rejected: None] * QUEUE
+    crowd.add_calls(130.0, 0.0, 10.0)
+    crowd.run(12.0)
+    assert crowd.targets[0].rejections > 0
+    assert crowd.asked == 0
+
+
+def test_grants_end_soon_after_the_crowd():
+    # Load: 200 calls/s to one target until 20 s, and 40/s after that.
+    crowd = shrunk_crowd(200.0)
+    crowd.add_calls(40.0, 20.0, 40.0)
+    crowd.run(20.0 + 1.5 * overload.HOLD_SECONDS)
+    asked = crowd.asked
+    crowd.run(42.0)
+    assert crowd.asked - asked < 0.05 * 40.0 * 17.0
+
+
+def test_a_returning_target_is_not_overrun():
+    # Load: 200 calls/s to one target; a second one that has just started joins it.
+    crowd = shrunk_crowd(200.0)
+    crowd.run(14.0)
+    crowd.targets.append(Target(crowd, "w9"))
+    crowd.run(20.0)
+    assert crowd.targets[1].arrivals > 0.5 * 200.0 * 6.0 / 2
+    assert crowd.targets[1].rejections == 0
+
+
+def test_urgent_calls_come_first():
+    # Load: 40 urgent calls/s beside 160 others to one target that can serve 133/s.
+    crowd = shrunk_crowd(160.0, priority=2)
+    crowd.add_calls(40.0, 8.0, 20.0, priority=0)
+    crowd.run(22.0)
+    urgent, urgent_served = crowd.in_aim(9.0, 20.0, priority=0)
+    assert urgent_served > 0.9 * urgent
+
+
+def test_a_large_account_leaves_room_to_small_ones():
+    # Load: one account sends 200 calls/s, another one 20/s, to one target that can serve 133/s.
+    crowd = shrunk_crowd(200.0, account="large")
+    crowd.add_calls(20.0, 8.0, 20.0, account="small")
+    crowd.run(22.0)
+    small, small_served = crowd.in_aim(9.0, 20.0, account="small")
+    assert small_served > 0.9 * small
+
+
+def test_gateways_without_an_issuer_use_their_shares():
+    # Load: 160 calls/s to one target that can serve 133/s, while no gateway reaches an issuer.
+    crowd = shrunk_crowd(160.0)
+    crowd.lose_issuer()
+    target = crowd.targets[0]
+    rejected_before = target.rejections
+    crowd.run(22.0)
+    calls, served = crowd.in_aim(8.0, 20.0)
+    assert served > 0.5 * calls
+    assert target.rejections - rejected_before < GATEWAYS
+
+
+def test_a_call_that_was_refused_gets_what_first_attempts_leave():
+    # Load: a crowd in which calls that return would take the room of those that can meet their aim.
+    issuer = overload.OverloadIssuer(random.Random(1))
+    rate = SLOTS / WORK_SECONDS
+
+    def request(key, now):
+        return issuer.request(
+            SERVICE, quota.QuotaRequest({"w": rate}, max_wait_s=0.1, key=key), now
+        )
+
+    while request(0, 1.0).target_id:
+        continue
+    assert not request(7, 1.0).target_id
+    # Half of the wait has passed, which is more than a returning call may wait.
+    assert not request(7, 1.05).target_id
+    assert request(8, 1.05).target_id
+
+
+def test_callers_are_told_to_return_before_they_give_up():
+    # Load: refused callers that ignore a time beyond a third of what is left of their deadline.
+    rng = random.Random(1)
+    for retry_after_s in (0.0, 0.1, 0.4, 10.0):
+        told_s = overload.limit_return_s(retry_after_s, 1.5, rng)
+        assert min(retry_after_s, 0.5) <= told_s <= 0.5
+
+
+def test_work_times_under_pressure_change_nothing():
+    # Load: answers that waited at a full target; a longer work time would lower the usual rate.
+    table = overload.PressureTable()
+    table.record_response(SERVICE, overload.Load("w", 1, 0, SLOTS, 1.0), False, 0.05, 1.0)
+    table.record_response(SERVICE, overload.Load("w", 6, 9, SLOTS, 2.0), False, 0.9, 1.0)
+    assert table.work_s(SERVICE, 1.0) == 0.05
+
+
+def test_targets_and_refusals_that_are_remembered_are_bounded():
+    # Load: more targets and refused calls than the tables keep.
+    table, issuer = overload.PressureTable(), overload.OverloadIssuer(random.Random(1))
+    for number in range(overload.MAX_ENTRIES + 10):
+        load = overload.Load(f"w{number}", 6, 24, SLOTS, 1.0)
+        table.record_response(SERVICE, load, True, None, 0.2)
+        issuer.request(SERVICE, quota.QuotaRequest({"w": 0.1}, key=number + 1), 1.0)
+    assert len(table._load_by_target) == len(table._full_at_by_target) == overload.MAX_ENTRIES
+    issuer.sweep(1.0)
+    assert len(issuer._refused_at_by_key) == overload.MAX_ENTRIES
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -60,8 +60,10 @@
             return
         available = pauses.without_pause(targets)
         untried = [each for each in available if each.target_id not in excluded_ids]
-        if untried and forwarder.overload.applies_to(admitted, available):
-            target, retry_after_s = await _select_admitted(forwarder, admitted, untried)
+        if forwarder.overload.applies_to(admitted, available):
+            target, retry_after_s = await _select_admitted(
+                forwarder, admitted, available, excluded_ids
+            )
             if retry_after_s:
                 reason = "all targets of the service are full"
                 code = codes.Code.SERVICE_OVERLOADED
@@ -149,13 +151,13 @@
     forwarder.fail_request(admitted, code, reason, REJECTED_RETRY_AFTER_SECONDS)
 
 
-async def _select_admitted(forwarder, admitted, targets):
+async def _select_admitted(forwarder, admitted, targets, excluded_ids):
     """Selects one of some full targets like `_select_target`, with a grant for its room."""
 
     def choose(candidates):
         return placement.choose_target(candidates, forwarder.zone, clock.now(), forwarder.rng)
 
-    return await forwarder.overload.select_granted(admitted, targets, choose)
+    return await forwarder.overload.select_granted(admitted, targets, excluded_ids, choose)
 
 
 async def _select_target(forwarder, admitted, targets):
--- a/chiveswitch/forwarding/overload_guard.py
+++ b/chiveswitch/forwarding/overload_guard.py
@@ -99,12 +99,13 @@
             admitted.service.name, [target.target_id for target in reachable], now
         )
 
-    async def select_granted(self, admitted, targets: list, choose):
+    async def select_granted(self, admitted, targets: list, excluded_ids: set, choose):
         """Returns a target to which a call may be sent now, and may wait for its grant.
 
         Args:
             admitted: The `forwarder.AdmittedRequest`.
-            targets: Targets that may be chosen.
+            targets: Targets that are ready and in no pause.
+            excluded_ids: Ids of those that were tried.
             choose: Function that returns the best one of a list of targets.
 
         Returns:
@@ -113,13 +114,19 @@
         """
         service, objective_s = admitted.service.name, admitted.route.objective_s
         work_s = self.table.work_s(service, objective_s)
-        candidates, rate_by_target = list(targets), {}
+        now = clock.now()
+        # A lost target has unused grants, which would come first.
+        healthy = [target for target in targets if target.avoided_until <= now]
+        candidates = [each for each in healthy or targets if each.target_id not in excluded_ids]
+        if not candidates:
+            return None, 0.0
+        rate_by_target = {}
         candidate = choose(candidates)
         while candidate is not None and len(rate_by_target) < rate_limiter.MAX_CANDIDATES:
             rate_by_target[candidate.target_id] = max(1, candidate.report.slots) / work_s
             candidates.remove(candidate)
             candidate = choose(candidates)
-        waited_s = clock.now() - admitted.request.received_at
+        waited_s = now - admitted.request.received_at
         request = quota.QuotaRequest(
             rate_by_target,
             admitted.account or "",
--- a/chiveswitch/tools/node_limits_test.py
+++ b/chiveswitch/tools/node_limits_test.py
@@ -5,7 +5,7 @@
 import random
 import types
 
-from chiveswitch.core import codes, decision_log, metrics, quota, target_table
+from chiveswitch.core import clock, codes, decision_log, metrics, overload, quota, target_table
 from chiveswitch.forwarding import forwarder, forwarder_test
 from chiveswitch.peers import hub, kinds, strict
 from chiveswitch.platform import headers
@@ -87,3 +87,35 @@
     message = node_limits.encode_requests(SERVICE, [request])
     decoded = strict.decode(hub.hub_thrift.QuotaRequests, message).ok
     assert node_limits.decode_requests(decoded)[0].rate_by_target == {"w3": 1.0}
+
+
+def test_loads_keep_their_contents():
+    load = overload.Load("w1", 6, 24, 6, clock.now() - 0.1)
+    request = quota.QuotaRequest({"w1": 2.5}, key=2**55)
+    message = node_limits.encode_requests(SERVICE, [request], [load])
+    decoded = strict.decode(hub.hub_thrift.QuotaRequests, message).ok
+    found = node_limits.decode_loads(decoded)[0]
+    assert (found.target_id, found.running, found.waiting, found.slots) == ("w1", 6, 24, 6)
+    assert abs(found.at - load.at) < 0.05
+    assert node_limits.decode_requests(decoded)[0].key == 2**55
+
+
+def test_requests_to_targets_that_name_limits_have_no_fields_of_overloads():
+    # Guards against messages that issuers of an earlier version refuse while no service is full.
+    message = node_limits.encode_requests(SERVICE, [quota.QuotaRequest({"w1": 2.5})])
+    decoded = strict.decode(hub.hub_thrift.QuotaRequests, message).ok
+    assert (decoded.loads, decoded.requests[0].key) == (None, None)
+
+
+def test_an_issuer_grants_a_full_target_no_more_than_its_room():
+    # Load: 100 calls at one moment to a target that serves 133 calls/s and has a long queue.
+    others = [address for address in ADDRESSES if address != ISSUER]
+
+    async def scenario():
+        exchange = node_limits.LimitExchange(make_node(ISSUER, others), random.Random(1))
+        requests = [quota.QuotaRequest({"w": 133.0}, max_wait_s=0.1) for _ in range(100)]
+        loads = [overload.Load("w", 6, 24, 6, clock.now())]
+        return await exchange._request_grants(SERVICE, requests, loads)
+
+    grants = asyncio.run(scenario())
+    assert 0 < sum(bool(grant.target_id) for grant in grants) < 30
