Read loads with a fourth figure, and keep late responses out of work times

Loads with four figures were dropped, so that rates followed rejections only. The usual work time is bounded, and responses of full targets no longer count for it.

--- a/chiveswitch/core/overload.py
+++ b/chiveswitch/core/overload.py
@@ -19,8 +19,12 @@
 HOLD_SECONDS = 2.0
 # Work time that is assumed before one was measured, as a share of the latency objective.
 ASSUMED_WORK_SHARE = 0.2
-# Weight of the newest measurement in the average of a service's work times.
-WORK_GAIN = 0.05
+# Weight of the newest measurement in the average of a service's work times, and bound of it as a
+# multiple of that average: some responses are late for causes other than work.
+WORK_GAIN = 0.1
+MAX_WORK_FACTOR = 2.0
+# Largest work time as a share of the latency objective. A longer one leaves calls no time to wait.
+MAX_WORK_SHARE = 0.3
 # Multiple of the work time that is left of the objective when a waiting call is sent.
 WORK_MARGIN = 2.0
 # Share of the latency objective, and of the remaining time, for which a call waits for a grant.
@@ -132,8 +136,12 @@
             objective_s: Latency objective of the request in seconds.
         """
         pressure = self._find_or_add(service)
-        if took_s is not None and not load.waiting:
-            pressure.work_s += (took_s - pressure.work_s) * (WORK_GAIN if pressure.work_s else 1.0)
+        # Calls wait at full targets before they are worked on.
+        if took_s is not None and not load.waiting and pressure.pressed_since is None:
+            known_s = self.work_s(service, objective_s)
+            pressure.work_s = known_s + (
+                WORK_GAIN * (min(took_s, MAX_WORK_FACTOR * known_s) - known_s)
+            )
         if len(self._load_by_target) >= MAX_ENTRIES and load.target_id not in self._load_by_target:
             self.forget(next(iter(self._load_by_target)))
         self._load_by_target[load.target_id] = load
@@ -180,7 +188,7 @@
         """Returns the time in seconds that a target is expected to work on a call."""
         pressure = self._pressure_by_service.get(service)
         known_s = pressure.work_s if pressure is not None else 0.0
-        return known_s or ASSUMED_WORK_SHARE * objective_s
+        return min(known_s or ASSUMED_WORK_SHARE * objective_s, MAX_WORK_SHARE * objective_s)
 
     def max_wait_s(self, service, objective_s: float, waited_s: float, remaining_s: float) -> float:
         """Returns how long a call may wait for a grant so that its objective can still be met.
@@ -357,6 +365,14 @@
             self._refused_at_by_key.setdefault(request.key, now)
         return grant
 
+    def rates_in_use(self, now: float) -> dict:
+        """Returns (requests per second, last `Load` or None) by target of recent requests."""
+        return {
+            target_id: (learned.rate(now), learned.load)
+            for target_id, learned in self._rate_by_target.items()
+            if now - learned.used_at < FULL_SECONDS
+        }
+
     def sweep(self, now: float):
         """Drops the rates and counts that have not been used lately."""
         self._issuer.sweep(now)
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -263,9 +263,10 @@
         is_misdirected = response.status == MISDIRECTED_STATUS
         not_run = is_misdirected or NOT_EXECUTED in value_by_header
         load = None
-        # The header holds the counts of running requests, of waiting requests, and of slots.
+        # The header holds the counts of running requests, of waiting requests, and of slots, and
+        # may hold a fourth figure.
         parts = value_by_header.get(INSTANCE_LOAD, "").split(",")
-        if len(parts) == 3 and all(COUNT.fullmatch(part.strip()) for part in parts[:2]):
+        if len(parts) in (3, 4) and all(COUNT.fullmatch(part.strip()) for part in parts[:2]):
             load = (int(parts[0]), int(parts[1]))
         info = exchange.ResponseInfo(not_run, is_misdirected, load)
         if SERVER_LIMIT in value_by_header:
--- a/chiveswitch/tools/node_limits.py
+++ b/chiveswitch/tools/node_limits.py
@@ -54,6 +54,16 @@
         """Drops what the issuer has not used lately."""
         self._issuer.sweep(now)
         self._overload_issuer.sweep(now)
+        for target_id, (rate, load) in self._overload_issuer.rates_in_use(now).items():
+            self._node.log.line(
+                "hub",
+                "overload_rate",
+                target=target_id,
+                rate=rate,
+                running=-1 if load is None else load.running,
+                waiting=-1 if load is None else load.waiting,
+                age=-1.0 if load is None else now - load.at,
+            )
 
     # Reports of limits.
 
