Use a full target again soon after it was overrun

While not all gateways know that a service is full, its queue is long, and the learned rate fell to a quarter of what the target could serve; it took seconds to rise again. A long queue now counts no more than a short one for what is learned, and gateways call a target full earlier.

--- a/chiveswitch/core/overload.py
+++ b/chiveswitch/core/overload.py
@@ -12,7 +12,7 @@
 
 # Share of a route's latency objective that a response of a full target is expected to take at
 # least. The rest covers the variation of work times and the way to the caller.
-FULL_OBJECTIVE_SHARE = 0.5
+FULL_OBJECTIVE_SHARE = 0.35
 # Time in seconds for which a response counts as a statement about the target's room.
 FULL_SECONDS = 1.0
 # Time in seconds without a sign of pressure after which calls need no grants any more.
@@ -286,6 +286,8 @@
             return
         self.is_short = False
         elapsed_s = min(load.at - previous.at, MAX_LOAD_AGE_SECONDS)
+        # A long queue says more about calls that came without grants than about the target.
+        error = max(error, -WAITING_GOAL_SHARE * load.slots)
         correction_s = self._correction_s()
         self.base = self._bound(self.base + error * elapsed_s / (2 * correction_s) ** 2)
 
--- a/chiveswitch/core/overload_test.py
+++ b/chiveswitch/core/overload_test.py
@@ -202,6 +202,18 @@
     assert target.rejections - rejected_before < GATEWAYS
 
 
+def test_a_target_that_was_overrun_is_used_in_full_soon_after():
+    # Load: 200 calls/s to one target, and for 2 s as many as it can serve without any grant.
+    crowd = shrunk_crowd(200.0)
+    target = crowd.targets[0]
+    for number in range(267):
+        crowd.schedule(4.0 + number / 133, target.arrive, lambda is_rejected: None)
+    crowd.run(14.2)
+    arrivals_before = target.arrivals
+    crowd.run(16.2)
+    assert target.arrivals - arrivals_before > 0.85 * 2.0 * SLOTS / WORK_SECONDS
+
+
 def test_the_queue_stays_as_short_as_the_objective_requires():
     # Load: 200 calls/s to one target; a full queue alone takes most of the objective.
     crowd = shrunk_crowd(200.0)
--- a/chiveswitch/platform/headers_test.py
+++ b/chiveswitch/platform/headers_test.py
@@ -114,6 +114,8 @@
         3,
         1,
     )
+    fourth = make_response(200, [("X-Instance-Load", "3,1,8,140")])
+    assert DIALECT.decode_response(fourth).load == (3, 1)
     assert DIALECT.decode_response(make_response(200, [("X-Instance-Load", "x")])).load is None
 
 
