--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -16,7 +16,7 @@
     versions,
 )
 from chiveswitch.forwarding import channel as channels
-from chiveswitch.forwarding import exchange, pauses, pool, rate_limiter
+from chiveswitch.forwarding import exchange, overload_guard, pauses, pool, rate_limiter
 
 # Time in seconds for which a caller that states no deadline is assumed to wait. The route's timeout
 # applies as well.
@@ -167,6 +167,7 @@
         report_prompt: Function that is called with each `prompt_quarantine.Report` for the other
             gateways.
         limiter: `rate_limiter.RateLimiter` with the limits that targets name.
+        overload: `overload_guard.OverloadGuard` of services whose targets are full.
         fetch_run_status: Coroutine function that returns the `placement.RunStatus` of another
             gateway's run.
         open_streams: Streams whose callers are present; each has `run`.
@@ -196,6 +197,7 @@
         "quarantine",
         "report_prompt",
         "limiter",
+        "overload",
         "fetch_run_status",
         "open_streams",
         "report_leaving",
@@ -243,6 +245,9 @@
         self.rng = random.Random()
         self.versions = versions.VersionPolicy(settings.rollout, self.rng, self._on_version_event)
         self.limiter = rate_limiter.RateLimiter(log, metrics, settings.name, self.spawn, self.rng)
+        self.overload = overload_guard.OverloadGuard(
+            log, metrics, self.spawn, self.rng, self.limiter
+        )
         self.quarantine = prompt_quarantine.PromptQuarantine(
             self.rng, self._on_prompt_held, self._on_prompt_released
         )
