Read the slowdown that targets on shared machines state with their load

Cause: a load header with a fourth figure was dropped as a whole, so that deployments whose targets share machines lost the counts of running and waiting requests, too.

Change: the counts are read from headers of three and of four figures; the fourth one becomes ResponseInfo.slowdown and Target.slowdown(now), which is 1.0 after 0.2 s.

--- a/chiveswitch/core/target_table.py
+++ b/chiveswitch/core/target_table.py
@@ -29,6 +29,9 @@
 TOMBSTONE_SECONDS = 60.0
 # A load that a target reported in a response is used up to this age.
 LOAD_MAX_AGE_SECONDS = 1.0
+# A slowdown that a target stated in a response is used up to this age. Neighbours on its machine
+# change it several times a second.
+SLOWDOWN_MAX_AGE_SECONDS = 0.2
 # Weight of the newest value in the exponential averages of a target's failures and latency.
 AVERAGE_GAIN = 0.1
 
@@ -135,6 +138,8 @@
         "open_requests",
         "load",
         "load_at",
+        "_slowdown",
+        "_slowdown_at",
         "avoided_until",
         "paused_until",
         "failure_rate",
@@ -149,6 +154,8 @@
         self.open_requests = 0
         self.load = (0, 0)
         self.load_at = 0.0
+        self._slowdown = 1.0
+        self._slowdown_at = 0.0
         self.avoided_until = 0.0
         self.paused_until = 0.0
         self.failure_rate = 0.0
@@ -223,10 +230,30 @@
             self.latency_s = seconds
         self.latency_s += (seconds - self.latency_s) * AVERAGE_GAIN
 
-    def update_load(self, running: int, waiting: int, now: float):
-        """Stores the load that the target reported in a response."""
+    def update_load(self, running: int, waiting: int, now: float, slowdown: float | None = None):
+        """Stores the load that the target reported in a response.
+
+        Args:
+            running: Number of requests that it runs.
+            waiting: Number of requests that wait there.
+            now: Current time in seconds.
+            slowdown: How long work takes there at this moment, 1.0 as usual, or None if not stated.
+        """
         self.load = (running, waiting)
         self.load_at = now
+        if slowdown is None:
+            return
+        self._slowdown = slowdown
+        self._slowdown_at = now
+
+    def slowdown(self, now: float) -> float:
+        """Returns how long work takes at the target by its latest statement, 1.0 as usual.
+
+        It is 1.0 if the target states nothing, and after `SLOWDOWN_MAX_AGE_SECONDS`.
+        """
+        if now - self._slowdown_at >= SLOWDOWN_MAX_AGE_SECONDS:
+            return 1.0
+        return self._slowdown
 
     def occupancy(self, now: float) -> float:
         """Returns the number of requests at the target divided by its slots.
--- a/chiveswitch/forwarding/exchange.py
+++ b/chiveswitch/forwarding/exchange.py
@@ -84,6 +84,8 @@
         not_run: Whether the target states that it did not run the request.
         is_misdirected: Whether another target now has the address.
         load: (running, waiting) requests of the target, or None if not stated.
+        slowdown: How long work takes at the target at this moment, 1.0 as usual and 2.0 twice as
+            long, or None if not stated.
         rate_limit: Requests per second that the target takes from all gateways together, or None if
             the response names no limit.
         rate_limit_fault: Why a named limit cannot be read, or an empty string.
@@ -97,6 +99,7 @@
         "not_run",
         "is_misdirected",
         "load",
+        "slowdown",
         "rate_limit",
         "rate_limit_fault",
         "is_leaving",
@@ -109,6 +112,7 @@
         self.not_run = not_run
         self.is_misdirected = is_misdirected
         self.load = load
+        self.slowdown = None
         self.rate_limit = None
         self.rate_limit_fault = ""
         self.is_leaving = False
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -610,7 +610,7 @@
         response_info = self.dialect.decode_response(response)
         target.record_contact(now)
         if response_info.load is not None:
-            target.update_load(*response_info.load, now)
+            target.update_load(*response_info.load, now, response_info.slowdown)
         if response_info.is_misdirected:
             self.target_table.remove(target.target_id, now)
         return response_info
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -467,7 +467,7 @@
                     response_info = dialect.decode_response(response)
                     forwarder.observe_response(target, response_info, self.sent_at)
                     if response_info.load is not None:
-                        target.update_load(*response_info.load, clock.now())
+                        target.update_load(*response_info.load, clock.now(), response_info.slowdown)
                 if accepted and response.body:
                     data, count = self.buffer.feed(channel.take_body())
                     now = clock.now()
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from chiveswitch.core import events
+from chiveswitch.core import events, speeds
 from chiveswitch.forwarding import exchange
 
 REQUEST_ID = "X-Request-Id"
@@ -96,6 +96,7 @@
     )
 )
 MS_PER_SECOND = 1000.0
+PERCENT = 100.0
 
 
 def _parse_number(text: str | None) -> float | None:
@@ -134,6 +135,23 @@
         info.rate_limit = rate
 
 
+def _read_load(text: str) -> tuple[tuple | None, float | None]:
+    """Returns the load and the slowdown in a worker's header; None for what cannot be read.
+
+    The header holds the counts of running requests, of waiting requests, and of slots. A fourth
+    figure may follow: how long work takes at this moment, in percent of the usual time.
+    """
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) not in (3, 4) or not all(COUNT.fullmatch(part) for part in parts[:2]):
+        return None, None
+    slowdown = None
+    if len(parts) == 4 and COUNT.fullmatch(parts[3]):
+        slowdown = int(parts[3]) / PERCENT
+        if not speeds.MIN_FACTOR <= slowdown <= speeds.MAX_FACTOR:
+            slowdown = None
+    return (int(parts[0]), int(parts[1])), slowdown
+
+
 def _read_leaving(response, info):
     """Sets whether a `ResponseInfo` says that the worker leaves, or why it cannot be read."""
     values = [value.strip() for name, value in response.headers if name.lower() == SERVER_LEAVING]
@@ -262,12 +280,9 @@
         value_by_header = response.value_by_header
         is_misdirected = response.status == MISDIRECTED_STATUS
         not_run = is_misdirected or NOT_EXECUTED in value_by_header
-        load = None
-        # The header holds the counts of running requests, of waiting requests, and of slots.
-        parts = value_by_header.get(INSTANCE_LOAD, "").split(",")
-        if len(parts) == 3 and all(COUNT.fullmatch(part.strip()) for part in parts[:2]):
-            load = (int(parts[0]), int(parts[1]))
+        load, slowdown = _read_load(value_by_header.get(INSTANCE_LOAD, ""))
         info = exchange.ResponseInfo(not_run, is_misdirected, load)
+        info.slowdown = slowdown
         if SERVER_LIMIT in value_by_header:
             _read_limit(response, info)
         if SERVER_LEAVING in value_by_header:
--- a/chiveswitch/platform/headers_test.py
+++ b/chiveswitch/platform/headers_test.py
@@ -117,6 +117,26 @@
     assert DIALECT.decode_response(make_response(200, [("X-Instance-Load", "x")])).load is None
 
 
+@pytest.mark.parametrize(
+    ("text", "load", "slowdown"),
+    [
+        ("3,1,8,160", (3, 1), 1.6),
+        ("3,1,8, 60", (3, 1), 0.6),
+        ("3,1,8", (3, 1), None),
+        # Figures that no machine can have leave the counts usable.
+        ("3,1,8,0", (3, 1), None),
+        ("3,1,8,99999999", (3, 1), None),
+        ("3,1,8,soon", (3, 1), None),
+        ("3,1,8,100,1", None, None),
+        ("3,1", None, None),
+    ],
+)
+def test_the_slowdown_of_a_shared_machine_is_read_beside_the_load(text, load, slowdown):
+    # Guards against losing the counts of targets whose neighbours slow them down.
+    info = DIALECT.decode_response(make_response(200, [("X-Instance-Load", text)]))
+    assert (info.load, info.slowdown) == (load, slowdown)
+
+
 @pytest.mark.parametrize(("text", "rate"), [("2.5", 2.5), ("0", 0.0), (" 0.2 ", 0.2), ("40", 40)])
 def test_the_limit_of_a_worker_is_a_decimal_number(text, rate):
     # Guards against limits below one request a second that count as none.
