Pool what gateways hear of targets' speeds with the reports of runs

Cause: one gateway of many sends few streams to each engine and cannot learn its speed alone.

Change: the last report of a run carries the slowdown that its engine stated, with the start time of the incarnation. Hubs publish these reports already, so no further message passes. The field is missing where targets state no slowdown, so that earlier versions understand the reports.

--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -21,12 +21,18 @@
   3: required string availability_zone, 4: required string region, 5: required string caller_address,
   6: required string peer_address, 7: required i32 state }
 
+// What a gateway observed of a target's speed during a run. born_ms: start time of the target's
+// incarnation; percent: how long work takes there, 100 as usual.
+struct SpeedReport { 1: required i64 born_ms, 2: required i32 percent }
+
 // Names the target that holds the memory of a run. sequence orders one node's reports of a run.
 // state: 0 active, 1 ended, 2 interrupted before the response was complete. Earlier versions had the
 // session in the place of request_digest; a session contains no colon, with which a digest begins.
+// speed is missing before the end of a run, and if the target states no slowdown.
 struct RunReport { 1: required string run_id, 2: required string request_digest, 3: required string target_id,
   4: required string copy_target_id, 5: required i64 tokens, 6: required i32 state,
-  7: required string node, 8: required i64 sequence, 9: required string copy_reference }
+  7: required string node, 8: required i64 sequence, 9: required string copy_reference,
+  10: optional SpeedReport speed }
 
 // Asks the node of a run whether the run's caller has lost the response before its end, and for the
 // last event that was sent to the caller, -1 if unknown.
--- a/chiveswitch/peers/kinds.py
+++ b/chiveswitch/peers/kinds.py
@@ -25,5 +25,4 @@
     HUB_REPORT_LIMITS = 54
     HUB_QUOTA = 55
     HUB_LEAVES = 56
-    HUB_REPORT_SPEEDS = 57
     RUN_QUERY = 60
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -27,6 +27,7 @@
     placement,
     prompt_quarantine,
     routing,
+    speeds,
     target_table,
 )
 from chiveswitch.forwarding import calls, forwarder, http_server, pauses, streams
@@ -99,6 +100,15 @@
     return hub.RUN_ENDED if run.ended else hub.RUN_ACTIVE
 
 
+def _wire_speed(run):
+    """Returns the SpeedReport of a run that has ended, or None, as in each earlier report."""
+    if run.speed is None or not run.ended:
+        return None
+    return hub.hub_thrift.SpeedReport(
+        born_ms=run.speed.born_ms, percent=round(run.speed.factor * speeds.PERCENT)
+    )
+
+
 def _wire_prompt_report(report):
     return hub.hub_thrift.PromptReport(
         outcome=int(report.outcome),
@@ -210,6 +220,7 @@
             self.view, settings.seeds, settings.peer_address, self._rng
         )
         self.view.watcher = self.watcher
+        self.view.on_speed = self.forwarder.apply_speed
         self.view.on_prompt_report = self._on_prompt_report
         self.view.held_prompt_reports = self._held_prompt_reports
         self.forwarder.report_prompt = self._report_prompt
@@ -442,6 +453,9 @@
         gauges["targets_limited"] = lambda: len(limiter.table.in_force())
         self.metrics.target_gauge_by_name["target_limit"] = limiter.limit_by_target
         self.metrics.target_gauge_by_name["target_limit_use"] = limiter.use_by_target
+        self.metrics.target_gauge_by_name["target_speed_factor"] = (
+            self.forwarder.speed_factor_by_target
+        )
         gauges["stream_moves_false"] = lambda: self.forwarder.detector.false_moves
 
     def _count_connections(self, state):
@@ -541,6 +555,7 @@
         self.forwarder.pool.close_target(target_id)
         self.forwarder.detector.forget_engine(target_id)
         self.forwarder.limiter.forget(target_id)
+        self.forwarder.forget_speed(target_id)
 
     def _report_run(self, run):
         report = hub.hub_thrift.RunReport(
@@ -553,6 +568,7 @@
             node=run.node,
             sequence=run.sequence,
             copy_reference=run.copy_reference,
+            speed=_wire_speed(run),
         )
         if self.is_member():
             self.hub.record_run_report(report)
@@ -642,6 +658,7 @@
             now = clock.now()
             self.table.sweep(self.view.live_hubs(), now)
             self.forwarder.run_table.sweep(now)
+            self.forwarder.speeds.sweep(now)
             self.forwarder.pool.close_stale_channels()
             gateway_count = max(1, len(self.view.ready_nodes()))
             self.forwarder.retry_budgets.gateway_count = gateway_count
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -5,7 +5,7 @@
 
 import random
 
-from chiveswitch.core import clock, placement, routing
+from chiveswitch.core import clock, placement, routing, speeds
 from chiveswitch.peers import hub
 
 hub_thrift = hub.hub_thrift
@@ -56,6 +56,7 @@
         state: Own state, `hub.NODE_READY` or `hub.NODE_DRAINING`.
         published: `hub.PublishedBundle` with the bundle in force, of the highest version received.
         on_bundle: Called with each new `routing.RouteBundle`.
+        on_speed: Called with each received `speeds.Observation`.
         on_prompt_report: Called with each received PromptReport of `hub_thrift`.
         held_prompt_reports: Function that returns the PromptReports that led to quarantines in
             force.
@@ -71,6 +72,7 @@
         "state",
         "published",
         "on_bundle",
+        "on_speed",
         "on_prompt_report",
         "held_prompt_reports",
         "on_limit_report",
@@ -91,6 +93,7 @@
         self.state = hub.NODE_DRAINING
         self.published = hub.PublishedBundle()
         self.on_bundle = on_bundle
+        self.on_speed = lambda observation: None
         self.on_prompt_report = lambda report: None
         self.held_prompt_reports = list
         self.on_limit_report = lambda report: None
@@ -233,6 +236,9 @@
         if known_run is not None and known_run.copy_reference == run.copy_reference:
             run.copied_at = known_run.copied_at
         self._run_table.put(run)
+        if report.speed is not None:
+            factor = report.speed.percent / speeds.PERCENT
+            self.on_speed(speeds.Observation(report.target_id, report.speed.born_ms, factor))
 
     def apply_loss_reports(self, reports):
         """Marks targets to which other gateways have lost their connections as to be avoided."""
