--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -10,9 +10,8 @@
 
 from chiveswitch.core import speeds, target_table
 
-# Prompt tokens that an engine processes in a second. It converts queued prompts to seconds, so that
-# they can be compared with running requests.
-PREFILL_TOKENS_PER_SECOND = 8000.0
+# Prompt tokens that an engine is assumed to process in a second.
+PREFILL_TOKENS_PER_SECOND = speeds.DEFAULT_READ_RATE
 # Cost in seconds of each running request. Prefill of a prompt of 8,000 tokens takes a second, in
 # which each request that runs on the engine has a ninth of its token rate and thus loses most of
 # the second.
@@ -342,7 +341,8 @@
         speed_table: Speeds of the targets.
     """
     running, _, unprocessed = _load_of(target, load_by_id, now)
-    read_s = (unprocessed + prompt_tokens) / PREFILL_TOKENS_PER_SECOND
+    rate = speed_table.read_rate(target.report.service)
+    read_s = (unprocessed + prompt_tokens) / rate
     return speed_table.factor(target.target_id, now) * (read_s + RUNNING_REQUEST_SECONDS * running)
 
 
--- a/chiveswitch/core/speeds.py
+++ b/chiveswitch/core/speeds.py
@@ -5,7 +5,9 @@
 observe, because one of them sends few requests to each target.
 """
 
+import collections
 import math
+import statistics
 
 # Factors are stated in percent.
 PERCENT = 100.0
@@ -30,6 +32,16 @@
 PRIOR_WEIGHT = 0.5
 # Time for which a computed factor is used if no further observation comes.
 REFRESH_SECONDS = 5.0
+# Prompt tokens that an engine of usual speed reads in a second, before a service's rate is known.
+DEFAULT_READ_RATE = 8000.0
+# Bounds of the learned rate, as a ratio to that.
+MAX_READ_RATE_RATIO = 8.0
+# Number of the latest reads of a service that are considered, and below which no rate is known.
+MAX_READS = 15
+MIN_READS = 5
+# Shortest prompt whose read says something of the rate. The time for a shorter one is mostly that
+# of the network and of the first token.
+MIN_READ_TOKENS = 1000
 # Targets with evidence beyond this number replace the ones observed longest ago.
 MAX_TARGETS = 4096
 
@@ -108,12 +120,13 @@
 
 
 class SpeedTable:
-    """Factors of targets, learned from the observations of all gateways."""
+    """Factors of targets, and rates at which the engines of a service read prompts."""
 
-    __slots__ = ("_evidence_by_id",)
+    __slots__ = ("_evidence_by_id", "_reads_by_service")
 
     def __init__(self):
         self._evidence_by_id = {}
+        self._reads_by_service = {}
 
     def observe(self, observation: Observation, now: float):
         """Adds an observation; one of an earlier incarnation is ignored, a later one starts anew.
@@ -140,6 +153,36 @@
         evidence = self._evidence_by_id.get(target_id)
         return 1.0 if evidence is None else evidence.factor(now)
 
+    def observe_read(self, service: str, target_id: str, tokens: int, seconds: float, now: float):
+        """Adds the time that an engine took to read a prompt before which none was queued there.
+
+        Args:
+            service: Service of the engine.
+            target_id: Id of the engine.
+            tokens: Tokens of the prompt.
+            seconds: Seconds from the request to the first event.
+            now: Current time in seconds.
+        """
+        if tokens < MIN_READ_TOKENS or seconds <= 0:
+            return
+        rate = tokens / seconds * self.factor(target_id, now)
+        ratio = min(MAX_READ_RATE_RATIO, max(1 / MAX_READ_RATE_RATIO, rate / DEFAULT_READ_RATE))
+        reads = self._reads_by_service.get(service)
+        if reads is None:
+            reads = self._reads_by_service[service] = collections.deque(maxlen=MAX_READS)
+        reads.append(ratio * DEFAULT_READ_RATE)
+
+    def read_rate(self, service: str) -> float:
+        """Returns the prompt tokens that an engine of usual speed reads in a second."""
+        reads = self._reads_by_service.get(service, ())
+        return DEFAULT_READ_RATE if len(reads) < MIN_READS else statistics.median(reads)
+
+    def retain_services(self, services):
+        """Drops the rates of all services but some."""
+        for service in list(self._reads_by_service):
+            if service not in services:
+                del self._reads_by_service[service]
+
     def forget(self, target_id: str):
         """Drops what is known of a target that has gone."""
         self._evidence_by_id.pop(target_id, None)
--- a/chiveswitch/core/speeds_test.py
+++ b/chiveswitch/core/speeds_test.py
@@ -92,3 +92,31 @@
         table.observe(speeds.Observation(f"t{index}", 1, 1.6), NOW)
     assert len(table.factor_by_target(NOW)) == speeds.MAX_TARGETS
     assert table.factor("t0", NOW) == 1.0
+
+
+def test_the_reading_rate_of_a_service_is_learned():
+    # Engines of several speeds that read 5,000 tokens a second; prompts are cached at times.
+    table = table_of(1.6, 1.6, 1.6, 1.6, 1.6)
+    factor = table.factor("t", NOW)
+    for seconds in [1.0, 1.0, 0.1, 1.0, 1.0 * factor, 3.0, 1.0]:
+        target_id = "t" if seconds == factor else "usual"
+        table.observe_read("s", target_id, 5000, seconds, NOW)
+    assert table.read_rate("s") == pytest.approx(5000)
+
+
+@pytest.mark.parametrize("count", [0, speeds.MIN_READS - 1])
+def test_few_reads_leave_the_default_rate(count):
+    # A gateway that has just started.
+    table = speeds.SpeedTable()
+    for _ in range(count):
+        table.observe_read("s", "t", 5000, 1.0, NOW)
+    assert table.read_rate("s") == speeds.DEFAULT_READ_RATE
+
+
+def test_short_prompts_and_odd_times_move_the_rate_within_bounds():
+    # Callers that state few tokens, and an engine that answers before it can have read.
+    table = speeds.SpeedTable()
+    for _ in range(20):
+        table.observe_read("s", "t", 10, 1.0, NOW)
+        table.observe_read("s", "t", 5000, 1e-9, NOW)
+    assert table.read_rate("s") == speeds.DEFAULT_READ_RATE * speeds.MAX_READ_RATE_RATIO
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -280,6 +280,7 @@
         """Puts a bundle in force and drops what was learned of services that it does not name."""
         self.bundle = bundle
         self.retry_budgets.retain_services(bundle.service_by_name)
+        self.speeds.retain_services(bundle.service_by_name)
         for name in list(self._pace_by_service):
             if name not in bundle.service_by_name:
                 del self._pace_by_service[name]
--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import orjson
+import pytest
 
 from chiveswitch.core import (
     clock,
@@ -372,6 +373,36 @@
     run(scenario, tmp_path)
 
 
+def test_the_slowdown_that_an_engine_states_is_kept_and_reported(tmp_path):
+    # A gateway whose streams go to a machine that is slow for its lifetime.
+    async def scenario(fixture):
+        (engine,) = await add_engines(fixture, 1)
+        engine.load = "1,0,8,160"
+        reports = []
+        fixture.gateway.report_run = lambda run: reports.append((run.target_id, run.speed))
+        await stream(fixture, "r1")
+        target_id, speed = reports[-1]
+        assert (target_id, speed.factor, speed.born_ms) == ("e0", 1.6, engine.born_ms)
+        assert fixture.gateway.speeds.factor("e0", clock.now()) > 1.2
+
+    assert "gateway: target_speed" in run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize(("more", "count"), [({}, 1), ({"Last-Event-Id": "5"}, 0)])
+def test_only_whole_reads_count_for_the_reading_rate(tmp_path, monkeypatch, more, count):
+    # Callers that return after a crowd: the engine still has their prompts and answers at once.
+    reads = []
+
+    async def scenario(fixture):
+        await add_engines(fixture)
+        table = type(fixture.gateway.speeds)
+        monkeypatch.setattr(table, "observe_read", lambda self, *read: reads.append(read))
+        await stream(fixture, "r1", **more)
+
+    run(scenario, tmp_path)
+    assert len(reads) == count
+
+
 def test_a_stream_continues_from_its_copy_after_a_crash_in_the_middle_of_an_event(tmp_path):
     # Guards against lost, repeated and truncated events, and against reading the prompt again.
     async def scenario(fixture):
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -100,6 +100,8 @@
         sent_at: Time at which the request of the present attempt was sent, in seconds of
             `core.clock`.
         quarantined_part: Part for which the present attempt is given up, or an empty string.
+        reads_at_once: Whether the engine of the present attempt has to read the whole prompt and
+            no other one was known to be queued there.
         limited_for_s: Seconds after which the limits of the targets are expected to permit the
             stream, 0 if they did not prevent the latest selection.
     """
@@ -123,6 +125,7 @@
         "channel",
         "sent_at",
         "quarantined_part",
+        "reads_at_once",
         "limited_for_s",
     )
 
@@ -158,6 +161,7 @@
         self.channel = None
         self.sent_at = now
         self.quarantined_part = ""
+        self.reads_at_once = False
         self.limited_for_s = 0.0
 
     def _identify_request(self):
@@ -301,6 +305,7 @@
             (target, whether it holds the copy), or (None, False) without a usable target.
         """
         forwarder = self.forwarder
+        self.reads_at_once = False
         if self.resumes_from_copy:
             self.resumes_from_copy = False
             holder = self.copy_manager.find_holder()
@@ -321,7 +326,11 @@
         def choose(candidates):
             return self._choose_target(candidates, loads)
 
-        return await self._wait_for_grant(choose(targets), targets, choose), False
+        target = await self._wait_for_grant(choose(targets), targets, choose)
+        if target is not None:
+            _, _, unprocessed = loads.get(target.target_id, (0, 0, 0))
+            self.reads_at_once = unprocessed == 0 and self.buffer.last_id is None
+        return target, False
 
     def _choose_target(self, targets, loads):
         """Returns the best one of some targets, or None.
@@ -488,6 +497,7 @@
                         else:
                             got_events = True
                             self.run.unprocessed_tokens = 0
+                            self.observe_read(target, now)
                         target.record_contact(now)
                         self.count_events(target, count)
                         self.deliver_events(channel, data, count)
@@ -554,6 +564,22 @@
             self.forwarder.starting_streams.discard(self)
             self.forwarder.record_beginning(self.admitted.parts, target)
 
+    def observe_read(self, target, now: float):
+        """Learns from the first event how fast the engine has read the prompt.
+
+        The prompt of a caller that returns may have been cached.
+        """
+        admitted = self.admitted
+        if not self.reads_at_once or admitted.service.engine is None:
+            return
+        self.forwarder.speeds.observe_read(
+            admitted.service.name,
+            target.target_id,
+            admitted.caller.prompt_tokens,
+            now - self.sent_at,
+            now,
+        )
+
     def silence_limits(self, interval_estimate, got_events, probe_succeeded) -> tuple[float, float]:
         """Returns the seconds of silence after which to fail over, and after which to probe.
 
--- a/chiveswitch/tools/node_view_test.py
+++ b/chiveswitch/tools/node_view_test.py
@@ -85,6 +85,40 @@
     assert report(3, hub.RUN_INTERRUPTED, "10.0.0.2:1/h1") > copied_at
 
 
+def test_a_speed_that_several_hubs_pass_on_counts_once():
+    # Each hub publishes the reports of runs; one of them is lost and comes back with old ones.
+    settings = unittest.mock.MagicMock()
+    settings.name = "own"
+    view = node_view.NodeView(
+        settings,
+        1,
+        unittest.mock.MagicMock(),
+        placement.RunTable(),
+        *(unittest.mock.MagicMock() for _ in range(3)),
+    )
+    heard = []
+    view.on_speed = lambda observation: heard.append((observation.target_id, observation.factor))
+
+    def report(sequence, state, speed):
+        return thrift.RunReport(
+            run_id="r1",
+            request_digest="",
+            target_id="a",
+            copy_target_id="",
+            tokens=9,
+            state=state,
+            node="other",
+            sequence=sequence,
+            copy_reference="",
+            speed=speed,
+        )
+
+    last = report(2, hub.RUN_ENDED, thrift.SpeedReport(born_ms=1, percent=160))
+    view.apply_run_reports([report(1, hub.RUN_ACTIVE, None), last])
+    view.apply_run_reports([last])
+    assert heard == [("a", 1.6)]
+
+
 def ready_incarnations(view):
     """Returns the incarnations of the node `n` that the directory would list."""
     return [each.incarnation for each in view.ready_nodes() if each.name == "n"]
--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -40,6 +40,7 @@
         retry_after_values: Values of the headers of its refusals that ask for a pause.
         born_ms: Time of its start, in milliseconds.
         leaving_values: Values of the headers of its responses that say that it leaves.
+        load: Value of the load header of its responses.
         arrivals: (time in seconds, request id) of each request that arrived for this worker.
         batch: `engine_batch.Batch` that paces its streams instead of `event_seconds`, or None.
     """
@@ -66,6 +67,7 @@
         self.retry_after_values = []
         self.born_ms = 1000
         self.leaving_values = []
+        self.load = "1,0,8"
         self.arrivals = []
         self._worker_by_address = worker_by_address
         worker_by_address[address] = self
@@ -150,7 +152,7 @@
         return [
             ("X-Request-Id", request_id),
             ("X-Response-Seal", f"seal-{self.worker_id}"),
-            ("X-Instance-Load", "1,0,8"),
+            ("X-Instance-Load", self.load),
             *self._state_headers(),
         ]
 
