Report a speed when the response of an engine begins of which nothing was known

Cause: other gateways learned a speed only at the end of the run, seconds later.

Change: reports of runs carry it from the head of the response on; receivers count it once a run. One more report is sent if the gateway knew nothing of the engine.

--- a/chiveswitch/core/speeds.py
+++ b/chiveswitch/core/speeds.py
@@ -122,11 +122,12 @@
 class SpeedTable:
     """Factors of targets, and rates at which the engines of a service read prompts."""
 
-    __slots__ = ("_evidence_by_id", "_reads_by_service")
+    __slots__ = ("_evidence_by_id", "_reads_by_service", "_rate_by_service")
 
     def __init__(self):
         self._evidence_by_id = {}
         self._reads_by_service = {}
+        self._rate_by_service = {}
 
     def observe(self, observation: Observation, now: float):
         """Adds an observation; one of an earlier incarnation is ignored, a later one starts anew.
@@ -171,17 +172,23 @@
         if reads is None:
             reads = self._reads_by_service[service] = collections.deque(maxlen=MAX_READS)
         reads.append(ratio * DEFAULT_READ_RATE)
+        if len(reads) >= MIN_READS:
+            self._rate_by_service[service] = statistics.median(reads)
 
     def read_rate(self, service: str) -> float:
         """Returns the prompt tokens that an engine of usual speed reads in a second."""
-        reads = self._reads_by_service.get(service, ())
-        return DEFAULT_READ_RATE if len(reads) < MIN_READS else statistics.median(reads)
+        return self._rate_by_service.get(service, DEFAULT_READ_RATE)
 
     def retain_services(self, services):
         """Drops the rates of all services but some."""
         for service in list(self._reads_by_service):
             if service not in services:
                 del self._reads_by_service[service]
+                self._rate_by_service.pop(service, None)
+
+    def is_known(self, target_id: str) -> bool:
+        """Returns whether anything is known of a target's speed."""
+        return target_id in self._evidence_by_id
 
     def forget(self, target_id: str):
         """Drops what is known of a target that has gone."""
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -487,7 +487,11 @@
                     accepted = True
                     response_info = dialect.decode_response(response)
                     forwarder.observe_response(target, response_info, self.sent_at)
+                    is_first = not forwarder.speeds.is_known(target.target_id)
                     self.run.speed = forwarder.observe_load(target, response_info)
+                    if self.run.speed is not None and is_first:
+                        # The other gateways would learn it only at the end of the run.
+                        self.publish_run()
                 if accepted and response.body:
                     data, count = self.buffer.feed(channel.take_body())
                     now = clock.now()
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -28,7 +28,7 @@
 // Names the target that holds the memory of a run. sequence orders one node's reports of a run.
 // state: 0 active, 1 ended, 2 interrupted before the response was complete. Earlier versions had the
 // session in the place of request_digest; a session contains no colon, with which a digest begins.
-// speed is missing before the end of a run, and if the target states no slowdown.
+// speed is missing before the response begins, and if the target states no slowdown.
 struct RunReport { 1: required string run_id, 2: required string request_digest, 3: required string target_id,
   4: required string copy_target_id, 5: required i64 tokens, 6: required i32 state,
   7: required string node, 8: required i64 sequence, 9: required string copy_reference,
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -101,8 +101,8 @@
 
 
 def _wire_speed(run):
-    """Returns the SpeedReport of a run that has ended, or None, as in each earlier report."""
-    if run.speed is None or not run.ended:
+    """Returns the SpeedReport of a run, or None."""
+    if run.speed is None:
         return None
     return hub.hub_thrift.SpeedReport(
         born_ms=run.speed.born_ms, percent=round(run.speed.factor * speeds.PERCENT)
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -236,9 +236,18 @@
         if known_run is not None and known_run.copy_reference == run.copy_reference:
             run.copied_at = known_run.copied_at
         self._run_table.put(run)
-        if report.speed is not None:
-            factor = report.speed.percent / speeds.PERCENT
-            self.on_speed(speeds.Observation(report.target_id, report.speed.born_ms, factor))
+        if report.speed is None:
+            return
+        factor = report.speed.percent / speeds.PERCENT
+        run.speed = speeds.Observation(report.target_id, report.speed.born_ms, factor)
+        # Later reports of a run repeat what was observed at its beginning.
+        is_repeated = (
+            known_run is not None
+            and known_run.speed is not None
+            and known_run.speed.target_id == report.target_id
+        )
+        if not is_repeated:
+            self.on_speed(run.speed)
 
     def apply_loss_reports(self, reports):
         """Marks targets to which other gateways have lost their connections as to be avoided."""
--- a/chiveswitch/tools/node_view_test.py
+++ b/chiveswitch/tools/node_view_test.py
@@ -114,7 +114,8 @@
         )
 
     last = report(2, hub.RUN_ENDED, thrift.SpeedReport(born_ms=1, percent=160))
-    view.apply_run_reports([report(1, hub.RUN_ACTIVE, None), last])
+    first = report(1, hub.RUN_ACTIVE, thrift.SpeedReport(born_ms=1, percent=160))
+    view.apply_run_reports([report(0, hub.RUN_ACTIVE, None), first, last])
     view.apply_run_reports([last])
     assert heard == [("a", 1.6)]
 
