--- a/chiveswitch/forwarding/copies.py
+++ b/chiveswitch/forwarding/copies.py
@@ -98,11 +98,18 @@
         ready = pauses.without_pause(forwarder.copy_targets(self._admitted))
         # A stream that continues from its copy needs a grant at a target with a limit.
         without_limits = forwarder.limiter.without_limits(ready)
-        loads = forwarder.run_table.load_by_target(now)
+        loads = forwarder.run_table.load_by_target(now, forwarder.speeds)
 
         def choose(candidates, avoided_zones):
             return placement.choose_copy_target(
-                candidates, loads, engine, self._run.tokens, avoided_zones, now, forwarder.rng
+                candidates,
+                loads,
+                engine,
+                self._run.tokens,
+                avoided_zones,
+                now,
+                forwarder.rng,
+                forwarder.speeds,
             )
 
         holder = choose(without_limits, {target.zone})
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -102,6 +102,8 @@
         sent_at: Time at which the request of the present attempt was sent, in seconds of
             `core.clock`.
         quarantined_part: Part for which the present attempt is given up, or an empty string.
+        reads_at_once: Whether the engine of the present attempt has to read the whole prompt and
+            no other one was known to be queued there.
         limited_for_s: Seconds after which the limits of the targets are expected to permit the
             stream, 0 if they did not prevent the latest selection.
         has_failed: Whether the present attempt is counted as a failure of the target's version.
@@ -126,6 +128,7 @@
         "channel",
         "sent_at",
         "quarantined_part",
+        "reads_at_once",
         "limited_for_s",
         "has_failed",
     )
@@ -162,6 +165,7 @@
         self.channel = None
         self.sent_at = now
         self.quarantined_part = ""
+        self.reads_at_once = False
         self.limited_for_s = 0.0
         self.has_failed = False
 
@@ -306,6 +310,7 @@
             (target, whether it holds the copy), or (None, False) without a usable target.
         """
         forwarder = self.forwarder
+        self.reads_at_once = False
         if self.resumes_from_copy:
             self.resumes_from_copy = False
             holder = self.copy_manager.find_holder()
@@ -322,12 +327,16 @@
             for each in pauses.without_pause(forwarder.ready_targets(self.admitted))
             if each.target_id not in self.excluded_ids
         ]
-        loads = forwarder.run_table.load_by_target(clock.now())
+        loads = forwarder.run_table.load_by_target(clock.now(), forwarder.speeds)
 
         def choose(candidates):
             return self._choose_target(candidates, loads)
 
-        return await self._wait_for_grant(choose(targets), targets, choose), False
+        target = await self._wait_for_grant(choose(targets), targets, choose)
+        if target is not None:
+            _, _, unprocessed = loads.get(target.target_id, (0, 0, 0))
+            self.reads_at_once = unprocessed == 0 and self.buffer.last_id is None
+        return target, False
 
     def _choose_target(self, targets, loads):
         """Returns the best one of some targets, or None.
@@ -339,9 +348,20 @@
         forwarder, now = self.forwarder, clock.now()
         engine = self.admitted.service.engine
         if engine is None:
-            return placement.choose_target(targets, forwarder.zone, now, forwarder.rng)
+            return placement.choose_target(
+                targets, forwarder.zone, now, forwarder.rng, forwarder.speeds
+            )
         session = self.run.session or self.admitted.caller.request_id
-        return placement.choose_engine(targets, loads, engine, self.run.tokens, session, now)
+        return placement.choose_engine(
+            targets,
+            loads,
+            engine,
+            self.run.tokens,
+            session,
+            now,
+            forwarder.speeds,
+            self.admitted.caller.prompt_tokens,
+        )
 
     async def _wait_for_grant(self, chosen, targets, choose):
         """Returns the chosen target, or another one if its limit does not permit the stream.
@@ -418,6 +438,7 @@
         self.run.run_id = admitted.caller.request_id
         self.run.unprocessed_tokens = 0 if from_copy else admitted.caller.prompt_tokens
         self.run.queued_at = clock.now()
+        self.run.speed = None
         self.publish_run()
         admitted.send_count += 1
         self.sent_at = clock.now()
@@ -473,8 +494,11 @@
                     accepted = True
                     response_info = dialect.decode_response(response)
                     forwarder.observe_response(target, response_info, self.sent_at)
-                    if response_info.load is not None:
-                        target.update_load(*response_info.load, clock.now())
+                    is_first = not forwarder.speeds.is_known(target.target_id)
+                    self.run.speed = forwarder.observe_load(target, response_info)
+                    if self.run.speed is not None and is_first:
+                        # The other gateways would learn it only at the end of the run.
+                        self.publish_run()
                 if accepted and response.body:
                     data, count = self.buffer.feed(channel.take_body())
                     now = clock.now()
@@ -486,6 +510,7 @@
                             got_events = True
                             self.record_first_event(target, now)
                             self.run.unprocessed_tokens = 0
+                            self.observe_read(target, now)
                         target.record_contact(now)
                         self.count_events(target, count)
                         self.deliver_events(channel, data, count)
@@ -578,6 +603,22 @@
             self.forwarder.starting_streams.discard(self)
             self.forwarder.record_beginning(self.admitted.parts, target)
 
+    def observe_read(self, target, now: float):
+        """Learns from the first event how fast the engine has read the prompt.
+
+        The prompt of a caller that returns may have been cached.
+        """
+        admitted = self.admitted
+        if not self.reads_at_once or admitted.service.engine is None:
+            return
+        self.forwarder.speeds.observe_read(
+            admitted.service.name,
+            target.target_id,
+            admitted.caller.prompt_tokens,
+            now - self.sent_at,
+            now,
+        )
+
     def silence_limits(self, interval_estimate, got_events, probe_succeeded) -> tuple[float, float]:
         """Returns the seconds of silence after which to fail over, and after which to probe.
 
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -5,7 +5,7 @@
 
 import random
 
-from chiveswitch.core import clock, placement, rooms, routing
+from chiveswitch.core import clock, placement, rooms, routing, speeds
 from chiveswitch.peers import hub
 
 hub_thrift = hub.hub_thrift
@@ -59,6 +59,7 @@
         room_permille: Own room as reported, in thousandths, or None; see `rooms.RoomMeter`.
         published: `hub.PublishedBundle` with the bundle in force, of the highest version received.
         on_bundle: Called with each new `routing.RouteBundle`.
+        on_speed: Called with each received `speeds.Observation`.
         on_prompt_report: Called with each received PromptReport of `hub_thrift`.
         held_prompt_reports: Function that returns the PromptReports that led to quarantines in
             force.
@@ -75,6 +76,7 @@
         "room_permille",
         "published",
         "on_bundle",
+        "on_speed",
         "on_prompt_report",
         "held_prompt_reports",
         "on_limit_report",
@@ -96,6 +98,7 @@
         self.room_permille = None
         self.published = hub.PublishedBundle()
         self.on_bundle = on_bundle
+        self.on_speed = lambda observation: None
         self.on_prompt_report = lambda report: None
         self.held_prompt_reports = list
         self.on_limit_report = lambda report: None
@@ -241,6 +244,18 @@
         if known_run is not None and known_run.copy_reference == run.copy_reference:
             run.copied_at = known_run.copied_at
         self._run_table.put(run)
+        if report.speed is None:
+            return
+        factor = report.speed.percent / speeds.PERCENT
+        run.speed = speeds.Observation(report.target_id, report.speed.born_ms, factor)
+        # Later reports of a run repeat what was observed at its beginning.
+        is_repeated = (
+            known_run is not None
+            and known_run.speed is not None
+            and known_run.speed.target_id == report.target_id
+        )
+        if not is_repeated:
+            self.on_speed(run.speed)
 
     def apply_loss_reports(self, reports):
         """Marks targets to which other gateways have lost their connections as to be avoided."""
