Give every request one rank and hold patient streams while engines have no room

Cause: two kinds of requests on one service were placed alike, and no engine learned which one is more urgent. Change: a request's rank is computed once; engines get it as urgency where a service has several priorities. New streams of the less urgent priorities wait at their gateway, bounded by their slack, while few engines have room.

--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -291,17 +291,42 @@
     )
 
 
-def _engine_score(target, load_by_id, engine, tokens, now):
-    """Returns the expected seconds until an engine has processed the prompt, with penalties."""
-    running, held, unprocessed = load_by_id.get(target.target_id, (0, 0, 0))
+def read_s(tokens: int) -> float:
+    """Returns the seconds in which an engine that also generates reads some prompt tokens."""
+    return tokens / (PREFILL_TOKENS_PER_SECOND * PREFILL_DRAIN_SHARE)
+
+
+def running_requests(target, load_by_id: dict, now: float) -> int:
+    """Returns the number of requests that an engine is known to run or to have queued."""
+    running = load_by_id.get(target.target_id, (0, 0, 0))[0]
     if now - target.load_at < target_table.LOAD_MAX_AGE_SECONDS:
         running = max(running, sum(target.load))
-    score = unprocessed / PREFILL_TOKENS_PER_SECOND + RUNNING_REQUEST_SECONDS * running
+    return running
+
+
+def engine_wait_s(target, load_by_id: dict, engine, tokens: int, now: float) -> float:
+    """Returns the expected seconds until an engine begins to read another prompt.
+
+    Args:
+        target: The engine.
+        load_by_id: Result of `RunTable.load_by_target`.
+        engine: `routing.Engine` of the service.
+        tokens: Number of tokens of the prompt and the longest possible response.
+        now: Current time in seconds.
+    """
+    _, held, unprocessed = load_by_id.get(target.target_id, (0, 0, 0))
+    wait_s = unprocessed / PREFILL_TOKENS_PER_SECOND
     # A run that does not fit waits until memory is free, or preempts another run.
     excess_tokens = held + tokens - engine.memory_tokens
     if excess_tokens > 0:
-        score += MEMORY_WAIT_SECONDS + excess_tokens / PREFILL_TOKENS_PER_SECOND
-    score += max(0, running + 1 - engine.slots)
+        wait_s += MEMORY_WAIT_SECONDS + excess_tokens / PREFILL_TOKENS_PER_SECOND
+    return wait_s + max(0, running_requests(target, load_by_id, now) + 1 - engine.slots)
+
+
+def _engine_score(target, load_by_id, engine, tokens, now):
+    """Returns the expected wait in seconds at an engine, with penalties."""
+    score = engine_wait_s(target, load_by_id, engine, tokens, now)
+    score += RUNNING_REQUEST_SECONDS * running_requests(target, load_by_id, now)
     score += FAILURE_PENALTY * target.failure_rate
     if target.avoided_until > now:
         score += AVOIDED_PENALTY_SECONDS
--- a/chiveswitch/core/routing.py
+++ b/chiveswitch/core/routing.py
@@ -157,6 +157,8 @@
         accounts: List of `Account`; if it is empty, requests need no key.
         source: The operator's document, which is returned to operators unchanged.
         account_by_key: `Account` by each of its keys.
+        priorities_by_service: Priorities that requests to a service may have, in ascending order,
+            by the name of the service.
     """
 
     __slots__ = (
@@ -167,6 +169,7 @@
         "accounts",
         "source",
         "account_by_key",
+        "priorities_by_service",
         "_routes_by_host",
     )
 
@@ -184,6 +187,21 @@
         self._routes_by_host = {}
         for route in routes:
             self._routes_by_host.setdefault(route.host, {})[route.path_prefix] = route
+        self.priorities_by_service = self._collect_priorities()
+
+    def _collect_priorities(self):
+        account_priorities = {account.priority for account in self.accounts}
+        uses_route_priority = not self.accounts or None in account_priorities
+        account_priorities.discard(None)
+        found_by_service = {}
+        for route in self.routes:
+            found = set(account_priorities)
+            if uses_route_priority or route.anonymous:
+                found.add(route.priority)
+            for name, weight in route.weight_by_service.items():
+                if weight > 0:
+                    found_by_service.setdefault(name, set()).update(found)
+        return {name: tuple(sorted(found)) for name, found in found_by_service.items()}
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the host's route with the longest prefix of a path, or None."""
--- a/chiveswitch/forwarding/exchange.py
+++ b/chiveswitch/forwarding/exchange.py
@@ -57,6 +57,8 @@
             or an empty string.
         resume_reference: Reference of the copy from which the run continues, in the engines'
             notation, or an empty string.
+        urgency: Order in which the target serves its requests, from 0 (first) to 9; None if it is
+            not sent.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "last_event_id",
         "copy_address",
         "resume_reference",
+        "urgency",
     )
 
     def __init__(self, target_id: str, remaining_s: float, account: str | None):
@@ -75,6 +78,7 @@
         self.last_event_id = None
         self.copy_address = ""
         self.resume_reference = ""
+        self.urgency = None
 
 
 class ResponseInfo:
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -11,8 +11,10 @@
     pace,
     placement,
     prompt_quarantine,
+    rank,
     retry,
     routing,
+    stream_admission,
 )
 from chiveswitch.forwarding import channel as channels
 from chiveswitch.forwarding import exchange, pauses, pool, rate_limiter
@@ -78,6 +80,7 @@
         service: Its `routing.Service`.
         account: Name of its client account, or None.
         deadline: Time by which the request must be answered, in seconds of `core.clock`.
+        rank: Its `rank.Rank`.
         parts: Keys of the parts of its prompt; see `prompt_quarantine.part_keys`.
         send_count: Number of times that the request was sent to a target.
         may_have_run: Whether a target may have run it.
@@ -94,6 +97,7 @@
         "service",
         "account",
         "deadline",
+        "rank",
         "parts",
         "send_count",
         "may_have_run",
@@ -110,6 +114,13 @@
         self.service = service
         self.account = account
         self.deadline = deadline
+        priority = route.priority
+        known_account = bundle.account_by_key.get(caller.account_key)
+        if known_account is not None and known_account.priority is not None:
+            priority = known_account.priority
+        self.rank = rank.Rank(
+            priority, caller.last_event_id is not None, request.received_at + route.objective_s
+        )
         self.parts = prompt_quarantine.part_keys(caller.model, caller.prompt_parts)
         self.send_count = 0
         self.may_have_run = False
@@ -119,10 +130,12 @@
     @property
     def priority(self) -> int:
         """Priority of the request; 0 is the most urgent."""
-        account = self.bundle.account_by_key.get(self.caller.account_key)
-        if account is None or account.priority is None:
-            return self.route.priority
-        return account.priority
+        return self.rank.priority
+
+    @property
+    def priorities(self) -> tuple:
+        """Priorities that requests to its service may have, in ascending order."""
+        return self.bundle.priorities_by_service.get(self.service.name, ())
 
     def remaining_s(self) -> float:
         """Returns the seconds until the deadline."""
@@ -170,6 +183,7 @@
             leaves.
         starting_streams: Streams that wait for the first events of an engine; each has
             `cancel_start`.
+        stream_queue_by_service: `stream_admission.StreamQueue` by service.
         drain: `Drain` of a stopping process, or None.
         open_requests: Set of the `AdmittedRequest`s in progress.
         rng: Random number generator for the choice of services and targets.
@@ -195,6 +209,7 @@
         "open_streams",
         "report_leaving",
         "starting_streams",
+        "stream_queue_by_service",
         "drain",
         "open_requests",
         "rng",
@@ -232,6 +247,7 @@
         self.open_streams = set()
         self.report_leaving = lambda target: None
         self.starting_streams = set()
+        self.stream_queue_by_service = {}
         self.drain = None
         self.open_requests = set()
         self.rng = random.Random()
@@ -274,6 +290,9 @@
         for name in list(self._pace_by_service):
             if name not in bundle.service_by_name:
                 del self._pace_by_service[name]
+        for name, queue in list(self.stream_queue_by_service.items()):
+            if name not in bundle.service_by_name and not queue.candidate_by_id:
+                del self.stream_queue_by_service[name]
 
     def pace_of(self, service: str) -> pace.StreamPace:
         """Returns the recent pace of a service's streams."""
@@ -281,6 +300,18 @@
         known_pace.forget_old(clock.now())
         return known_pace
 
+    def stream_queue_of(self, service: str) -> stream_admission.StreamQueue:
+        """Returns the queue of the streams that wait for a service's engines."""
+        queue = self.stream_queue_by_service.get(service)
+        if queue is None:
+            queue = stream_admission.StreamQueue(self.rng)
+            self.stream_queue_by_service[service] = queue
+        return queue
+
+    def count_waiting_streams(self) -> int:
+        """Returns the number of streams that wait for room at an engine."""
+        return sum(len(each.candidate_by_id) for each in self.stream_queue_by_service.values())
+
     def check_target(self, target) -> asyncio.Task:
         """Checks whether a target is lost or only one connection to it broke.
 
@@ -550,9 +581,12 @@
 
     def build_send_options(self, admitted: AdmittedRequest, target) -> exchange.SendOptions:
         """Returns the options for a request that is sent to a target now."""
-        return exchange.SendOptions(
+        options = exchange.SendOptions(
             target.target_id, max(0.001, admitted.remaining_s()), admitted.account
         )
+        if admitted.service.engine is not None:
+            options.urgency = rank.urgency(admitted.rank, admitted.priorities)
+        return options
 
     def refuse(self, request, responder, caller, code, reason, retry_after_s=None):
         """Answers a request with an error response of the gateway and logs the reason.
@@ -682,6 +716,7 @@
             bundle=admitted.bundle.version,
             target=target.target_id,
             zone=target.zone,
+            priority=admitted.priority,
             load_age=clock.now() - target.load_at if target.load_at else -1.0,
             **details,
             left=admitted.remaining_s(),
--- /dev/null
+++ b/chiveswitch/forwarding/stream_waits.py
@@ -0,0 +1,112 @@
+"""Waits of new streams at their gateway until an engine has room for their prompt."""
+
+import asyncio
+
+from chiveswitch.core import clock, stream_admission
+from chiveswitch.forwarding import pauses
+
+PLACE = stream_admission.Decision(stream_admission.Verdict.PLACE)
+
+
+class StreamWait:
+    """The wait of one stream, which consists of steps between which its caller may leave.
+
+    Attributes:
+        candidate: Its `stream_admission.Candidate`, or None before the first step.
+    """
+
+    __slots__ = ("candidate", "_stream", "_preferred_ids")
+
+    def __init__(self, stream):
+        self.candidate = None
+        self._stream = stream
+        self._preferred_ids = frozenset()
+
+    def _needs_decision(self):
+        admitted = self._stream.admitted
+        if admitted.service.engine is None or len(admitted.priorities) < 2:
+            return False
+        # A caller that has a part of its stream waits for the next event.
+        return not admitted.rank.is_begun and admitted.send_count == 0
+
+    def _queue(self):
+        return self._stream.forwarder.stream_queue_of(self._stream.admitted.service.name)
+
+    def _make_candidate(self):
+        admitted = self._stream.admitted
+        return stream_admission.Candidate(
+            stream_id=admitted.caller.request_id,
+            account=admitted.account or "",
+            rank=admitted.rank,
+            tokens=self._stream.run.tokens,
+            prompt_tokens=admitted.caller.prompt_tokens,
+            arrived_at=admitted.request.received_at,
+            deadline=admitted.deadline,
+            least_s=self._stream.least_remaining_s(),
+        )
+
+    async def take_step(self) -> stream_admission.Decision:
+        """Decides whether the stream is placed now; if not, waits a moment.
+
+        Returns:
+            The `stream_admission.Decision`; after WAIT the next step follows at once, once the
+            caller has checked what else may end the request.
+        """
+        if not self._needs_decision():
+            self.leave()
+            return PLACE
+        forwarder, admitted, now = self._stream.forwarder, self._stream.admitted, clock.now()
+        if self.candidate is None:
+            self.candidate = self._make_candidate()
+        ready = forwarder.target_table.ready_targets(admitted.service.name)
+        decision = self._queue().decide(
+            self.candidate,
+            admitted.priorities,
+            pauses.without_pause(ready),
+            forwarder.run_table.load_by_target(now),
+            admitted.service.engine,
+            now,
+        )
+        if decision.verdict == stream_admission.Verdict.WAIT:
+            if self.candidate.waiting_since == now:
+                self._log("stream_waits", now)
+            await asyncio.sleep(decision.seconds)
+            return decision
+        if decision.verdict == stream_admission.Verdict.PLACE:
+            self._preferred_ids = frozenset(each.target_id for each in decision.targets)
+        if self.candidate.waiting_since is not None:
+            waited_s = now - self.candidate.waiting_since
+            forwarder.metrics.observe("stream_wait", waited_s)
+            self._log(
+                "stream_waited",
+                now,
+                outcome=decision.verdict.name.lower(),
+                seconds=waited_s,
+                with_room=len(decision.targets),
+                ready=len(ready),
+            )
+        return decision
+
+    def _log(self, event, now, **details):
+        admitted = self._stream.admitted
+        self._stream.forwarder.log.line(
+            "gateway",
+            event,
+            request=admitted.caller.request_id,
+            priority=admitted.priority,
+            waiting=len(self._queue().candidate_by_id),
+            objective_in=admitted.rank.objective_at - now,
+            **details,
+            left=admitted.remaining_s(),
+        )
+
+    def preferred(self, targets: list) -> list:
+        """Returns those of some targets that had room, or all if none of them had."""
+        if self._stream.admitted.send_count:
+            return targets
+        return [each for each in targets if each.target_id in self._preferred_ids] or targets
+
+    def leave(self):
+        """Ends the wait, also when the caller has left."""
+        if self.candidate is not None:
+            self._queue().leave(self.candidate.stream_id)
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -17,9 +17,10 @@
     prompt_quarantine,
     request_identity,
     routing,
+    stream_admission,
 )
 from chiveswitch.forwarding import channel as channels
-from chiveswitch.forwarding import copies, pauses
+from chiveswitch.forwarding import copies, pauses, stream_waits
 from chiveswitch.forwarding import forwarder as forwarding
 
 # Silence in seconds before the first event after which a liveness probe checks that the engine
@@ -100,6 +101,7 @@
         sent_at: Time at which the request of the present attempt was sent, in seconds of
             `core.clock`.
         quarantined_part: Part for which the present attempt is given up, or an empty string.
+        wait: `stream_waits.StreamWait` until the first attempt.
         limited_for_s: Seconds after which the limits of the targets are expected to permit the
             stream, 0 if they did not prevent the latest selection.
     """
@@ -123,6 +125,7 @@
         "channel",
         "sent_at",
         "quarantined_part",
+        "wait",
         "limited_for_s",
     )
 
@@ -158,6 +161,7 @@
         self.channel = None
         self.sent_at = now
         self.quarantined_part = ""
+        self.wait = stream_waits.StreamWait(self)
         self.limited_for_s = 0.0
 
     def _identify_request(self):
@@ -316,6 +320,7 @@
             )
             if each.target_id not in self.excluded_ids
         ]
+        targets = self.wait.preferred(targets)
         loads = forwarder.run_table.load_by_target(clock.now())
 
         def choose(candidates):
@@ -601,6 +606,7 @@
         responder = self.begin_response(channel)
         now = clock.now()
         if self.first_event_s is None:
+            self.admitted.rank.is_begun = True
             self.first_event_s = now - self.admitted.request.received_at
             self.forwarder.metrics.observe("first_event", self.first_event_s)
         else:
@@ -689,6 +695,7 @@
         raise
     finally:
         forwarder.open_streams.discard(stream)
+        stream.wait.leave()
         stream.buffer.restart()
         run = stream.run
         run.ended = True
@@ -705,6 +712,7 @@
     too_late = False
     quarantine_s = None
     return_after_s = 0.0
+    refused_for_s = 0.0
     reason = "no target"
     while admitted.remaining_s() > 0:
         if not admitted.may_have_run and forwarder.must_refuse(admitted):
@@ -726,6 +734,12 @@
         if return_after_s:
             reason = "all engines have asked for a pause"
             break
+        decision = await stream.wait.take_step()
+        if decision.verdict == stream_admission.Verdict.WAIT:
+            continue
+        if decision.verdict == stream_admission.Verdict.REFUSE:
+            reason, refused_for_s = decision.reason, decision.seconds
+            break
         target, from_copy = await stream.select_target()
         if target is None:
             is_limited = stream.limited_for_s > 0
@@ -831,6 +845,9 @@
         # A retry cannot succeed, because no gateway can meet the deadline.
         forwarder.fail_request(admitted, codes.Code.WAIT_EXPIRED, reason)
         return
+    if refused_for_s:
+        forwarder.fail_request(admitted, codes.Code.QUEUE_FULL, reason, refused_for_s)
+        return
     if return_after_s:
         forwarder.fail_request(admitted, codes.Code.TARGETS_PAUSED, reason, return_after_s)
         return
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -20,6 +20,7 @@
 EXPECT_INSTANCE = "X-Expect-Instance"
 # The platform calls a client account a tenant.
 TENANT = "X-Tenant"
+REQUEST_PRIORITY = "X-Request-Priority"
 BACKUP = "X-Kv-Backup"
 KV_FROM = "Kv-From"
 NOT_EXECUTED = "x-not-executed"
@@ -206,6 +207,8 @@
             # Names are sent as UTF-8; the head is written in latin-1.
             account = options.account.encode().decode("latin-1")
             lines.append(f"{TENANT}: {account}\r\n")
+        if options.urgency is not None:
+            lines.append(f"{REQUEST_PRIORITY}: {options.urgency}\r\n")
         if options.last_event_id is not None:
             lines.append(f"{LAST_EVENT_ID}: {options.last_event_id}\r\n")
         if options.copy_address:
