Let the route's priority decide among accounts of equal priority

Cause: where all accounts name a priority, the routes' ones had no effect, and streams of less urgent accounts waited although their objective leaves no time for it. Change: the rank holds both priorities; streams wait only if their objective is longer than the service's shortest one. Result: the modules' tests pass.

--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -291,11 +291,6 @@
     )
 
 
-def read_s(tokens: int) -> float:
-    """Returns the seconds in which an engine that also generates reads some prompt tokens."""
-    return tokens / (PREFILL_TOKENS_PER_SECOND * PREFILL_DRAIN_SHARE)
-
-
 def running_requests(target, load_by_id: dict, now: float) -> int:
     """Returns the number of requests that an engine is known to run or to have queued."""
     running = load_by_id.get(target.target_id, (0, 0, 0))[0]
--- a/chiveswitch/core/routing.py
+++ b/chiveswitch/core/routing.py
@@ -140,6 +140,22 @@
     __slots__ = ("name", "keys", "priority")
 
 
+class ServiceOrder:
+    """What the routes and accounts of a bundle say of the order among requests to a service.
+
+    Attributes:
+        priorities: Pairs (priority of the account or else of the route, priority of the route) that
+            its requests may have, the most urgent one first.
+        shortest_objective_s: Shortest latency objective of its routes in seconds.
+    """
+
+    __slots__ = ("priorities", "shortest_objective_s")
+
+    def __init__(self, priorities: tuple = (), shortest_objective_s: float = 0.0):
+        self.priorities = priorities
+        self.shortest_objective_s = shortest_objective_s
+
+
 # Limits that apply until the first bundle has arrived; they are those of the users' settings.
 DEFAULT_LIMITS = Limits(
     header_bytes=16384, body_bytes=4 * 1024 * 1024, header_timeout_s=3.0, idle_timeout_s=15.0
@@ -157,8 +173,7 @@
         accounts: List of `Account`; if it is empty, requests need no key.
         source: The operator's document, which is returned to operators unchanged.
         account_by_key: `Account` by each of its keys.
-        priorities_by_service: Priorities that requests to a service may have, in ascending order,
-            by the name of the service.
+        order_by_service: `ServiceOrder` by the name of the service.
     """
 
     __slots__ = (
@@ -169,7 +184,7 @@
         "accounts",
         "source",
         "account_by_key",
-        "priorities_by_service",
+        "order_by_service",
         "_routes_by_host",
     )
 
@@ -187,21 +202,27 @@
         self._routes_by_host = {}
         for route in routes:
             self._routes_by_host.setdefault(route.host, {})[route.path_prefix] = route
-        self.priorities_by_service = self._collect_priorities()
+        self.order_by_service = self._find_orders()
 
-    def _collect_priorities(self):
+    def _find_orders(self):
         account_priorities = {account.priority for account in self.accounts}
         uses_route_priority = not self.accounts or None in account_priorities
         account_priorities.discard(None)
-        found_by_service = {}
+        pairs_by_service, objectives_by_service = {}, {}
         for route in self.routes:
-            found = set(account_priorities)
+            priorities = set(account_priorities)
             if uses_route_priority or route.anonymous:
-                found.add(route.priority)
+                priorities.add(route.priority)
             for name, weight in route.weight_by_service.items():
-                if weight > 0:
-                    found_by_service.setdefault(name, set()).update(found)
-        return {name: tuple(sorted(found)) for name, found in found_by_service.items()}
+                if weight <= 0:
+                    continue
+                pairs = pairs_by_service.setdefault(name, set())
+                pairs.update((priority, route.priority) for priority in priorities)
+                objectives_by_service.setdefault(name, []).append(route.objective_s)
+        return {
+            name: ServiceOrder(tuple(sorted(pairs)), min(objectives_by_service[name]))
+            for name, pairs in pairs_by_service.items()
+        }
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the host's route with the longest prefix of a path, or None."""
--- a/chiveswitch/core/routing_test.py
+++ b/chiveswitch/core/routing_test.py
@@ -79,6 +79,25 @@
     assert second.account_by_key["k"].name == "a"
 
 
+def test_the_priorities_of_a_service_are_those_of_its_callers():
+    # Guards against an order among requests that all have the same priority: a route without weight
+    # leads nobody to a service, and an account's priority comes before the route's.
+    routes = [route("a", priority=0), route("b", path_prefix="/b/", priority=2)]
+    unused = route("c", path_prefix="/c/", priority=7, weight_by_service={"s": 0, "t": 1})
+    named = routing.Account(name="a", keys=["k"], priority=1)
+    unnamed = routing.Account(name="b", keys=["l"], priority=None)
+
+    def priorities(routes, *accounts):
+        return bundle(routes, accounts=accounts).order_by_service["s"].priorities
+
+    assert priorities([*routes, unused]) == ((0, 0), (2, 2))
+    assert priorities(routes, named) == ((1, 0), (1, 2))
+    assert priorities(routes, named, unnamed) == ((0, 0), (1, 0), (1, 2), (2, 2))
+    anonymous = route("d", path_prefix="/d/", priority=3, anonymous=True)
+    assert priorities([anonymous], named) == ((1, 3), (3, 3))
+    assert priorities([route("a"), route("e", path_prefix="/e/")], named) == ((1, 1),)
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_other_bytes_are_refused_without_an_exception(data):
     assert routing.decode(data).is_error()
--- a/chiveswitch/core/stream_admission.py
+++ b/chiveswitch/core/stream_admission.py
@@ -1,9 +1,10 @@
 """Admission of new streams: which ones wait at their gateway while all engines read other prompts.
 
-Streams of the most urgent priority of a service never wait here; engines order them by urgency.
-Streams of the other priorities wait as long as they have slack, so that they neither fill the
-engines' memory nor are read where an engine may be lost before it gets to them. If all requests to
-a service have the same priority, none waits.
+The most urgent streams of a service never wait here; engines order them by urgency. Others wait
+until they have little more time left than the service's shortest latency objective gives, so that
+they neither fill the engines' memory nor are bound to an engine that may be lost before it gets to
+them. If all routes of a service have the same objective, or all requests the same priority, none
+waits.
 
 Gateways decide by the same reports, which are a few hundred milliseconds old. While few engines
 have room, a waiting stream is therefore placed by chance, at a rate that grows with their number.
@@ -15,15 +16,15 @@
 from chiveswitch.core import placement, rank
 
 # Expected wait in seconds for the prompts before it and for memory up to which an engine has room
-# for another prompt. A prompt of usual length takes a second.
-ROOM_SECONDS = 0.6
+# for another prompt: the time of a prompt of usual length, so that engines are not idle between two.
+ROOM_SECONDS = 1.0
 # Share of the engines with room from which on a stream is placed at once.
 AMPLE_SHARE = 0.25
+# Multiple of the service's shortest latency objective that a stream has left when it stops waiting.
+KEPT_FACTOR = 1.5
 # Bounds in seconds of the random time after which a waiting stream looks for room again. Reports of
 # other gateways' runs arrive within about this time.
 MIN_POLL_SECONDS, MAX_POLL_SECONDS = 0.05, 0.15
-# Share of the latency objective that is left for reading when a stream is placed at the latest.
-MARGIN_SHARE = 0.35
 # Largest number of streams that wait for one service at a gateway; the last ones by rank are
 # refused beyond.
 MAX_WAITING = 64
@@ -77,8 +78,6 @@
         account: Name of its client account, or an empty string.
         rank: Its `rank.Rank`.
         tokens: Tokens of its prompt and the longest possible response.
-        prompt_tokens: Tokens of its prompt.
-        arrived_at: Time in seconds of its arrival.
         deadline: Time in seconds by which its response must be complete.
         least_s: Least seconds from its placement to the end of its response.
         waiting_since: Time in seconds at which it began to wait, or None.
@@ -89,8 +88,6 @@
         "account",
         "rank",
         "tokens",
-        "prompt_tokens",
-        "arrived_at",
         "deadline",
         "least_s",
         "waiting_since",
@@ -101,15 +98,14 @@
         for name, value in fields.items():
             setattr(self, name, value)
 
-    def latest_start(self, wait_s: float) -> float:
-        """Returns the time until which it may wait and still meet its objective.
+    def is_due(self, order, now: float) -> bool:
+        """Returns whether it waits no longer, because it has no slack left.
 
         Args:
-            wait_s: Expected wait in seconds at the best engine.
+            order: `routing.ServiceOrder` of the service.
+            now: Current time in seconds.
         """
-        objective_s = self.rank.objective_at - self.arrived_at
-        read_s = placement.read_s(self.prompt_tokens)
-        return self.rank.objective_at - MARGIN_SHARE * objective_s - read_s - wait_s
+        return now >= self.rank.objective_at - KEPT_FACTOR * order.shortest_objective_s
 
 
 class StreamQueue:
@@ -132,18 +128,19 @@
         if not self.candidate_by_id:
             self._served_tokens_by_account.clear()
 
-    def decide(self, candidate: Candidate, priorities, targets, loads, engine, now) -> Decision:
+    def decide(self, candidate: Candidate, order, targets, loads, engine, now) -> Decision:
         """Decides about a new stream; puts it into the queue or takes it out.
 
         Args:
             candidate: The stream.
-            priorities: Priorities that requests to the service may have, in ascending order.
+            order: `routing.ServiceOrder` of the service.
             targets: Engines that may be chosen.
             loads: Result of `placement.RunTable.load_by_target`.
             engine: `routing.Engine` of the service.
             now: Current time in seconds.
         """
         place = Decision(Verdict.PLACE, targets=targets)
+        priorities = order.priorities
         if len(priorities) < 2 or not targets:
             self.leave(candidate.stream_id)
             return place
@@ -156,7 +153,7 @@
         if may_refuse and left_s < candidate.least_s + best_wait_s:
             reason = f"needs {candidate.least_s + best_wait_s:.3f} s of {left_s:.3f} s"
             return self._refuse(candidate, priorities, best_wait_s, reason)
-        if not rank.is_patient(candidate.rank, priorities):
+        if not candidate.rank.level(priorities):
             return place
         with_room = [
             each for each, wait_s in zip(targets, waits, strict=True) if wait_s <= ROOM_SECONDS
@@ -165,7 +162,7 @@
         if may_refuse and is_full and self._is_last(candidate):
             reason = f"{MAX_WAITING} streams wait already"
             return self._refuse(candidate, priorities, best_wait_s, reason)
-        is_due = is_full or now >= candidate.latest_start(best_wait_s)
+        is_due = is_full or candidate.is_due(order, now)
         chance = len(with_room) / (AMPLE_SHARE * len(targets))
         if is_due or (self._is_next(candidate) and self._rng.random() < chance):
             self._record_turn(candidate)
@@ -186,11 +183,10 @@
 
         Args:
             request_rank: Rank of the refused request.
-            priorities: Priorities that requests to the service may have, in ascending order.
+            priorities: Pairs of priorities of the service's requests, the most urgent one first.
             wait_s: Expected wait in seconds at the best engine.
         """
-        level = 1 + sum(priority < request_rank.priority for priority in priorities)
-        base_s = max(MIN_RETRY_AFTER_SECONDS, wait_s) * level
+        base_s = max(MIN_RETRY_AFTER_SECONDS, wait_s) * (1 + request_rank.level(priorities))
         return min(base_s, MAX_RETRY_AFTER_SECONDS) * (1 + RETRY_SPREAD * self._rng.random())
 
     def _order(self, candidate):
@@ -198,9 +194,9 @@
 
         Among streams of equal priority the account that has had the fewest tokens comes first.
         """
-        priority, is_new, objective_at = candidate.rank.key()
+        priorities, is_new, objective_at = candidate.rank.key()
         served = self._served_tokens_by_account.get(candidate.account, 0)
-        return priority, is_new, served, objective_at
+        return priorities, is_new, served, objective_at
 
     def _is_next(self, candidate):
         own = self._order(candidate)
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -38,6 +38,9 @@
 STARTUP_WAIT_SHARE = 0.25
 STARTUP_POLL_SECONDS = 0.02
 
+# Order of a service that no route of the bundle leads to any more.
+UNORDERED = routing.ServiceOrder()
+
 HANDLER_BY_KIND = {}
 
 
@@ -119,7 +122,10 @@
         if known_account is not None and known_account.priority is not None:
             priority = known_account.priority
         self.rank = rank.Rank(
-            priority, caller.last_event_id is not None, request.received_at + route.objective_s
+            priority,
+            route.priority,
+            caller.last_event_id is not None,
+            request.received_at + route.objective_s,
         )
         self.parts = prompt_quarantine.part_keys(caller.model, caller.prompt_parts)
         self.send_count = 0
@@ -133,9 +139,9 @@
         return self.rank.priority
 
     @property
-    def priorities(self) -> tuple:
-        """Priorities that requests to its service may have, in ascending order."""
-        return self.bundle.priorities_by_service.get(self.service.name, ())
+    def service_order(self) -> routing.ServiceOrder:
+        """The order among the requests to its service."""
+        return self.bundle.order_by_service.get(self.service.name, UNORDERED)
 
     def remaining_s(self) -> float:
         """Returns the seconds until the deadline."""
@@ -585,7 +591,7 @@
             target.target_id, max(0.001, admitted.remaining_s()), admitted.account
         )
         if admitted.service.engine is not None:
-            options.urgency = rank.urgency(admitted.rank, admitted.priorities)
+            options.urgency = rank.urgency(admitted.rank, admitted.service_order.priorities)
         return options
 
     def refuse(self, request, responder, caller, code, reason, retry_after_s=None):
@@ -717,6 +723,7 @@
             target=target.target_id,
             zone=target.zone,
             priority=admitted.priority,
+            route_priority=admitted.route.priority,
             load_age=clock.now() - target.load_at if target.load_at else -1.0,
             **details,
             left=admitted.remaining_s(),
--- a/chiveswitch/forwarding/stream_waits.py
+++ b/chiveswitch/forwarding/stream_waits.py
@@ -24,7 +24,7 @@
 
     def _needs_decision(self):
         admitted = self._stream.admitted
-        if admitted.service.engine is None or len(admitted.priorities) < 2:
+        if admitted.service.engine is None or len(admitted.service_order.priorities) < 2:
             return False
         # A caller that has a part of its stream waits for the next event.
         return not admitted.rank.is_begun and admitted.send_count == 0
@@ -39,8 +39,6 @@
             account=admitted.account or "",
             rank=admitted.rank,
             tokens=self._stream.run.tokens,
-            prompt_tokens=admitted.caller.prompt_tokens,
-            arrived_at=admitted.request.received_at,
             deadline=admitted.deadline,
             least_s=self._stream.least_remaining_s(),
         )
@@ -61,7 +59,7 @@
         ready = forwarder.target_table.ready_targets(admitted.service.name)
         decision = self._queue().decide(
             self.candidate,
-            admitted.priorities,
+            admitted.service_order,
             pauses.without_pause(ready),
             forwarder.run_table.load_by_target(now),
             admitted.service.engine,
@@ -94,6 +92,7 @@
             event,
             request=admitted.caller.request_id,
             priority=admitted.priority,
+            route_priority=admitted.route.priority,
             waiting=len(self._queue().candidate_by_id),
             objective_in=admitted.rank.objective_at - now,
             **details,
--- a/chiveswitch/platform/headers_test.py
+++ b/chiveswitch/platform/headers_test.py
@@ -86,6 +86,20 @@
     assert "Content-Length: 4" in lines and body == b"body"
 
 
+@pytest.mark.parametrize(
+    "urgency, expected", [(None, b""), (0, b"X-Request-Priority: 0\r\n")], ids=["equal", "first"]
+)
+def test_the_urgency_is_sent_only_where_priorities_differ(urgency, expected):
+    # Guards against a caller that names its own urgency, and against an urgency below the one that
+    # engines assume for the requests of other senders.
+    request = make_request([*CALLER_HEADERS, ("X-Request-Priority", "1")])
+    options = exchange.SendOptions("w1", 1.0, None)
+    options.urgency = urgency
+    data = DIALECT.encode_request(request, DIALECT.decode_request(request), options)
+    lines = [line + b"\r\n" for line in data.split(b"\r\n") if b"Priority" in line]
+    assert b"".join(lines) == expected
+
+
 def test_copies_are_referenced_by_address_and_id():
     options = exchange.SendOptions("w1", 1.0, None)
     options.copy_address = "10.0.0.2:80"
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -425,6 +425,7 @@
         gauges["targets"] = lambda: len(self.table.target_by_id)
         gauges["targets_draining"] = self.table.count_draining
         gauges["targets_paused"] = lambda: pauses.count_paused(self.table)
+        gauges["streams_waiting"] = self.forwarder.count_waiting_streams
         gauges["channels_opened"] = lambda: self.forwarder.pool.opened_count
         budget = self.forwarder.pool.pacer.budget
         gauges["response_bytes_held"] = lambda: budget.held_bytes
--- a/features/load_model.py
+++ b/features/load_model.py
@@ -22,6 +22,8 @@
 # Time to the first event, and pause between events, up to which a stream is on time, in seconds.
 FIRST_EVENT_OBJECTIVE_SECONDS = 4.5
 GAP_OBJECTIVE_SECONDS = 0.7
+# Seconds after which a stream that its policy has not placed is placed again.
+POLL_SECONDS = 0.1
 # Seconds until the loss of an engine is detected and the run is sent elsewhere.
 DETECTION_SECONDS = 0.3
 DOWN_SECONDS = 1.2
@@ -99,6 +101,7 @@
     Attributes:
         run: The `placement.Run` as its gateway reports it.
         gateway: Number of its gateway.
+        kind: Kind of request.
         arrived_at: Time in seconds of its arrival.
         first_event_at: Time of the first event of the present attempt, in seconds.
         ends_at: Time of the last event in seconds.
@@ -110,6 +113,7 @@
     __slots__ = (
         "run",
         "gateway",
+        "kind",
         "arrived_at",
         "first_event_at",
         "ends_at",
@@ -118,9 +122,10 @@
         "delivered_at",
     )
 
-    def __init__(self, run, gateway, now):
+    def __init__(self, run, gateway, now, kind=""):
         self.run = run
         self.gateway = gateway
+        self.kind = kind
         self.arrived_at = now
         self.first_event_at = 0.0
         self.ends_at = 0.0
@@ -136,14 +141,16 @@
         streams: Number of streams.
         late: Number of streams that missed an objective.
         repeated_tokens: Prompt tokens that were read again or in vain.
+        first_event_s_by_kind: Lists of the seconds to the first event, by kind of request.
     """
 
-    __slots__ = ("streams", "late", "repeated_tokens")
+    __slots__ = ("streams", "late", "repeated_tokens", "first_event_s_by_kind")
 
     def __init__(self):
         self.streams = 0
         self.late = 0
         self.repeated_tokens = 0
+        self.first_event_s_by_kind = {}
 
     @property
     def late_share(self) -> float:
@@ -152,7 +159,11 @@
 
 
 class Model:
-    """One simulation of a policy under a pattern of load."""
+    """One simulation of a policy, or of its function, under a pattern of load.
+
+    Attributes:
+        kind_by_run_id: Kind of request by run id.
+    """
 
     def __init__(self, policy_name, zones="abcdef", per_zone=3, gateways=24, per_s=2.6, seed=1):
         self.rng = random.Random(seed)
@@ -162,7 +173,8 @@
         self.outcome = Outcome()
         self.now = 0.0
         self.per_s = per_s
-        self._policy = POLICY_BY_NAME[policy_name]
+        self.kind_by_run_id = {}
+        self._policy = POLICY_BY_NAME.get(policy_name, policy_name)
         self._tables = []
         self._run_tables = [placement.RunTable() for _ in range(gateways)]
         for _ in range(gateways):
@@ -181,26 +193,31 @@
     def simulate(self, pattern_name: str, seconds: float) -> Outcome:
         """Returns the outcome of streams that arrive within some seconds."""
         PATTERN_BY_NAME[pattern_name](self, seconds)
+        return self.run_events()
+
+    def run_events(self) -> Outcome:
+        """Runs all scheduled events and those that follow; returns the outcome."""
         while self._events:
             self.now, _, function, arguments = heapq.heappop(self._events)
             function(*arguments)
         return self.outcome
 
-    def arrive(self, seconds: float, per_s: float):
+    def arrive(self, seconds: float, per_s: float, kind: str = ""):
         """Schedules arrivals until a time; each schedules the next one."""
         if self.now > seconds:
             return
-        self.add_stream()
-        self.schedule(self.now + self.rng.expovariate(per_s), self.arrive, seconds, per_s)
+        self.add_stream(kind)
+        self.schedule(self.now + self.rng.expovariate(per_s), self.arrive, seconds, per_s, kind)
 
-    def add_stream(self):
-        """Begins a stream at a random gateway."""
+    def add_stream(self, kind: str = ""):
+        """Begins a stream of a kind of request at a random gateway."""
         gateway = self.rng.randrange(len(self._tables))
         prompt = round(min(25_000.0, max(2_000.0, self.rng.lognormvariate(8.9, 0.5))))
         run_id = f"r{self.outcome.streams}"
         run = placement.Run(run_id, run_id, prompt + 1080, prompt, str(gateway), self.now)
         self.outcome.streams += 1
-        self._place(Stream(run, gateway, self.now), 0)
+        self.kind_by_run_id[run_id] = kind
+        self._place(Stream(run, gateway, self.now, kind), 0)
 
     def lose_zone(self, zone: str):
         """Crashes all engines of a zone; their runs move after the loss was detected."""
@@ -251,6 +268,9 @@
         else:
             has_copy = False
             target = self._policy(self, targets, loads, run, self.now)
+        if target is None:
+            self.schedule(self.now + POLL_SECONDS, self._place, stream, attempt, has_copy)
+            return
         engine = self.engine_by_id[target.target_id]
         if engine.down_until > self.now:
             table.record_loss(target, self.now)
@@ -280,6 +300,8 @@
         stream.run.unprocessed_tokens = 0
         if stream.delivered_at is None:
             stream.delivered_at = self.now
+            first_events = self.outcome.first_event_s_by_kind.setdefault(stream.kind, [])
+            first_events.append(self.now - stream.arrived_at)
             stream.is_late |= self.now - stream.arrived_at > FIRST_EVENT_OBJECTIVE_SECONDS
             stream.ends_at = RESPONSE_EVENTS * EVENT_SECONDS
         elif self.now - stream.run.queued_at + DETECTION_SECONDS > GAP_OBJECTIVE_SECONDS:
