--- a/chiveswitch/core/stream_admission_test.py
+++ b/chiveswitch/core/stream_admission_test.py
@@ -86,6 +86,15 @@
     assert (decision.verdict, decision.targets) == (PLACE, targets)
 
 
+def test_the_most_urgent_account_does_not_wait_on_a_patient_route():
+    # A crowd, and a caller of the most urgent account on a route with a long objective. Guards
+    # against streams that wait although no more urgent ones can come.
+    targets = engines()
+    order = routing.ServiceOrder(((1, 2), (2, 0), (2, 2)), URGENT_S)
+    decision = decide(make_queue(), candidate(), targets, reading(targets, 3), order=order)
+    assert (decision.verdict, decision.targets) == (PLACE, targets)
+
+
 def test_a_crowd_of_patient_callers_waits_and_urgent_ones_do_not():
     # A crowd of patient callers beside urgent ones while every engine has prompts to read. Guards
     # against urgent streams that queue behind patient ones.
