--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -316,12 +316,40 @@
     )
 
 
-def _load_of(target, load_by_id, now):
-    """Returns a target's entry of `RunTable.load_by_target`, or a higher load that it stated."""
-    running, held, unprocessed = load_by_id.get(target.target_id, (0, 0, 0))
+def running_requests(target, load_by_id: dict, now: float) -> int:
+    """Returns the number of requests that an engine is known to run or to have queued."""
+    running = load_by_id.get(target.target_id, (0, 0, 0))[0]
     if now - target.load_at < target_table.LOAD_MAX_AGE_SECONDS:
         running = max(running, sum(target.load))
-    return running, held, unprocessed
+    return running
+
+
+def engine_wait_s(
+    target: target_table.Target,
+    load_by_id: dict,
+    engine,
+    tokens: int,
+    now: float,
+    speed_table: speeds.SpeedTable = NO_SPEEDS,
+) -> float:
+    """Returns the expected seconds until an engine begins to read another prompt.
+
+    Args:
+        target: The engine.
+        load_by_id: Result of `RunTable.load_by_target`.
+        engine: `routing.Engine` of the service.
+        tokens: Number of tokens of the prompt and the longest possible response.
+        now: Current time in seconds.
+        speed_table: Speeds of the targets.
+    """
+    _, held, unprocessed = load_by_id.get(target.target_id, (0, 0, 0))
+    factor = speed_table.factor(target.target_id, now)
+    wait_s = factor * unprocessed / speed_table.read_rate(target.report.service)
+    # A run that does not fit waits until memory is free, or preempts another run.
+    excess_tokens = held + tokens - engine.memory_tokens
+    if excess_tokens > 0:
+        wait_s += MEMORY_WAIT_SECONDS + excess_tokens / PREFILL_TOKENS_PER_SECOND
+    return wait_s + max(0, running_requests(target, load_by_id, now) + 1 - engine.slots)
 
 
 def expected_read_s(
@@ -331,7 +359,7 @@
     now: float,
     speed_table: speeds.SpeedTable = NO_SPEEDS,
 ) -> float:
-    """Returns the expected seconds until an engine has read a prompt that is sent to it now.
+    """Returns the expected seconds for which an engine reads a prompt beside what it runs.
 
     Args:
         target: The engine.
@@ -340,21 +368,15 @@
         now: Current time in seconds.
         speed_table: Speeds of the targets.
     """
-    running, _, unprocessed = _load_of(target, load_by_id, now)
-    rate = speed_table.read_rate(target.report.service)
-    read_s = (unprocessed + prompt_tokens) / rate
-    return speed_table.factor(target.target_id, now) * (read_s + RUNNING_REQUEST_SECONDS * running)
+    read_s = prompt_tokens / speed_table.read_rate(target.report.service)
+    read_s += RUNNING_REQUEST_SECONDS * running_requests(target, load_by_id, now)
+    return speed_table.factor(target.target_id, now) * read_s
 
 
 def _engine_score(target, load_by_id, engine, tokens, prompt_tokens, now, speed_table):
     """Returns the expected seconds until an engine has processed the prompt, with penalties."""
-    running, held, _ = _load_of(target, load_by_id, now)
-    score = expected_read_s(target, load_by_id, prompt_tokens, now, speed_table)
-    # A run that does not fit waits until memory is free, or preempts another run.
-    excess_tokens = held + tokens - engine.memory_tokens
-    if excess_tokens > 0:
-        score += MEMORY_WAIT_SECONDS + excess_tokens / PREFILL_TOKENS_PER_SECOND
-    score += max(0, running + 1 - engine.slots)
+    score = engine_wait_s(target, load_by_id, engine, tokens, now, speed_table)
+    score += expected_read_s(target, load_by_id, prompt_tokens, now, speed_table)
     score += FAILURE_PENALTY * target.failure_rate
     if target.avoided_until > now:
         score += AVOIDED_PENALTY_SECONDS
