Keep copies alive until the version that takes over has room

A requested copy that had to move was not refreshed while no target of the version had room, so that it would have expired. A version under an order also takes over from targets that stopped without leaving.

--- a/chiveswitch/core/versions.py
+++ b/chiveswitch/core/versions.py
@@ -259,9 +259,9 @@
         # A share of 1 means that the version is sound, and that the others may stop soon.
         if order.share >= 1.0 and not _has_usable(accepted, now):
             return ordered or accepted
-        if accepted or not known.is_alone(order.version, now):
+        if _has_usable(accepted, now) or not known.is_alone(order.version, now):
             return accepted
-        return ordered
+        return ordered if _has_usable(ordered, now) else accepted or ordered
 
     def copy_targets(self, service: str, targets: list, now: float) -> list:
         """Returns the targets that may hold copies of running streams.
@@ -299,9 +299,7 @@
         if not self.may_resume(service, version):
             return True
         order = known.running
-        if order is None or not order.moves_copies:
-            return False
-        return version != order.version and order.version in known.seen_at_by_version
+        return order is not None and order.moves_copies and version != order.version
 
     def _observe(self, service, targets, now):
         """Returns the service's `_ServiceVersions` and its ready targets by version."""
--- a/chiveswitch/core/versions_test.py
+++ b/chiveswitch/core/versions_test.py
@@ -246,6 +246,17 @@
     assert "v2" in chosen(policy, targets, 2.0, OLD)
 
 
+def test_a_version_under_an_order_takes_over_from_targets_that_stopped_without_leaving():
+    # Failure: as before, but the old targets' last announcements are still listed.
+    policy = make_policy(order(valid_for_s=99.0))
+    targets = make_targets(v1=2, v2=2)
+    chosen(policy, targets)
+    for target in targets[:2]:
+        target.report.overdue = True
+    assert chosen(policy, targets, 2.9, OLD) == "v1"
+    assert chosen(policy, targets, versions.ALONE_SECONDS, OLD) == "v2"
+
+
 def test_an_order_for_the_only_version_refuses_nothing():
     # Failure: an operator orders the version that all targets have already.
     policy = make_policy()
--- a/chiveswitch/forwarding/copies.py
+++ b/chiveswitch/forwarding/copies.py
@@ -158,12 +158,15 @@
         if holder is None:
             return True
         if self._must_move(holder):
-            return self._is_move_due(now)
-        refresh_after_s = engine.copy_kept_s * COPY_REFRESH_SHARE
-        return (
-            self.requested_copy_made_at is not None
-            and now - self.requested_copy_made_at > refresh_after_s
-        )
+            return self._is_move_due(now) or self._is_refresh_due(now)
+        return self._is_refresh_due(now)
+
+    def _is_refresh_due(self, now):
+        """Returns whether the present copy was made on request and will expire soon."""
+        if self.requested_copy_made_at is None:
+            return False
+        refresh_after_s = self._admitted.service.engine.copy_kept_s * COPY_REFRESH_SHARE
+        return now - self.requested_copy_made_at > refresh_after_s
 
     def _must_move(self, target):
         """Returns whether streams must leave a target because of its version."""
@@ -193,7 +196,10 @@
         if self.requested_copy_made_at is not None and not must_move:
             holder = known_holder
         holder = holder or self._select_holder(target)
-        if holder is None or must_move and self._must_move(holder):
+        if must_move and (holder is None or self._must_move(holder)):
+            # The present copy stays until the version has room.
+            holder = known_holder if self._is_refresh_due(started) else None
+        if holder is None:
             return
         data = forwarder.dialect.encode_copy_request(run.run_id, target.address, holder.address)
         response = await self._send_request(target, data, COPY_TIMEOUT_SECONDS)
--- a/chiveswitch/forwarding/versions_test.py
+++ b/chiveswitch/forwarding/versions_test.py
@@ -89,8 +89,8 @@
 
 
 async def start_stream(fixture):
-    """Starts a slow stream at one of two engines of v1 beside two of v2."""
-    for number, version in enumerate(("v1", "v1", "v2", "v2")):
+    """Starts a slow stream at one of two engines of v1 beside six of v2."""
+    for number, version in enumerate(("v1", "v1", *["v2"] * 6)):
         worker = await add(fixture, f"e{number}", "engines", "ab"[number % 2], version)
         worker.event_seconds = 0.15
     task = asyncio.ensure_future(forwarder_test.stream(fixture, "r1"))
@@ -107,14 +107,33 @@
         order(fixture, "engines", share=0.0)
         task, state = await start_stream(fixture)
         order(fixture, "engines", step=2, share=1.0, moves_copies=True)
-        await platform_standins.wait_until(lambda: state.copy_target_id in ("e2", "e3"))
+        await platform_standins.wait_until(lambda: state.copy_target_id not in ("e0", "e1"))
         order(fixture, "engines", state=rollouts.COMPLETED, step=3, share=1.0)
         for name in ("e0", "e1"):
             await fixture.workers[name].stop()
         answer = await task
         assert answer.complete and answer.event_ids() == list(range(12))
         (continued,) = fixture.workers[state.target_id].runs
-        assert state.target_id in ("e2", "e3") and "kv-from" in continued[1]
+        assert state.target_id not in ("e0", "e1") and "kv-from" in continued[1]
+
+    run(scenario, tmp_path)
+
+
+def test_a_copy_moves_within_the_zone_if_the_version_has_no_other_engine(tmp_path):
+    # Failure: the old targets stop, and the only new one is in the zone of the stream's engine.
+    async def scenario(fixture):
+        order(fixture, "engines", share=0.0)
+        for name, zone in (("e0", "a"), ("e1", "b")):
+            worker = await add(fixture, name, "engines", zone, "v1")
+            worker.event_seconds = 0.15
+        task = asyncio.ensure_future(forwarder_test.stream(fixture, "r1"))
+        await platform_standins.wait_until(fixture.executed_request_ids)
+        state = fixture.gateway.run_table.run_by_id["r1"]
+        zone = fixture.table.find(state.target_id).zone
+        await add(fixture, "e2", "engines", zone, "v2")
+        order(fixture, "engines", step=2, share=1.0, moves_copies=True)
+        await platform_standins.wait_until(lambda: state.copy_target_id == "e2")
+        assert (await task).complete
 
     run(scenario, tmp_path)
 
@@ -125,12 +144,13 @@
         order(fixture, "engines", share=0.0)
         task, state = await start_stream(fixture)
         order(fixture, "engines", step=2, share=1.0, moves_copies=True)
-        await platform_standins.wait_until(lambda: state.copy_target_id in ("e2", "e3"))
+        await platform_standins.wait_until(lambda: state.copy_target_id not in ("e0", "e1"))
         order(fixture, "engines", state=rollouts.ROLLED_BACK, step=3, share=0.0)
         await fixture.workers[state.target_id].stop()
         answer = await task
         assert answer.complete and answer.event_ids() == list(range(12))
-        assert not fixture.workers["e2"].runs and not fixture.workers["e3"].runs
+        ran_at = {name for name, worker in fixture.workers.items() if worker.runs}
+        assert ran_at == {"e0", "e1"}
 
     run(scenario, tmp_path)
 
