--- a/chiveswitch/core/versions.py
+++ b/chiveswitch/core/versions.py
@@ -86,13 +86,13 @@
             return 0.0
         return order.share
 
-    def apply(self, state: rollouts.RolloutState, now: float) -> bool:
-        """Applies a state of an order; returns whether it is new."""
+    def apply(self, state: rollouts.RolloutState, now: float):
+        """Applies a state of an order."""
         known = self.order_by_version.get(state.version)
         if known is not None and not state.newer_than(known):
             if known is self.latest and not known.newer_than(state):
                 self.share_until = max(self.share_until, now + state.valid_for_s)
-            return False
+            return
         self.order_by_version[state.version] = state
         if self.latest is None or state.newer_than(self.latest):
             self.latest = state
@@ -107,7 +107,6 @@
         if len(self.order_by_version) > MAX_VERSIONS:
             oldest = min(self.order_by_version.values(), key=lambda each: each.serial)
             del self.order_by_version[oldest.version]
-        return True
 
     def _is_overtaken(self, state):
         """Returns whether a later order was completed."""
@@ -187,18 +186,7 @@
             return
         self._has_heard = True
         for state in sorted(states, key=lambda each: (each.serial, each.step)):
-            if not self._service(state.service).apply(state, now):
-                continue
-            self._on_event(
-                "version_ordered",
-                service=state.service,
-                version=state.version,
-                state=rollouts.STATE_NAMES[state.state],
-                serial=state.serial,
-                step=state.step,
-                share=state.share,
-                moves_copies=int(state.moves_copies),
-            )
+            self._service(state.service).apply(state, now)
 
     def retain_services(self, names):
         """Forgets the services that are not named, except those with orders."""
