--- a/chiveswitch/core/versions.py
+++ b/chiveswitch/core/versions.py
@@ -86,13 +86,13 @@
             return 0.0
         return order.share
 
-    def apply(self, state: rollouts.RolloutState, now: float) -> bool:
-        """Applies a state of an order; returns whether it is new."""
+    def apply(self, state: rollouts.RolloutState, now: float):
+        """Applies a state of an order."""
         known = self.order_by_version.get(state.version)
         if known is not None and not state.newer_than(known):
             if known is self.latest and not known.newer_than(state):
                 self.share_until = max(self.share_until, now + state.valid_for_s)
-            return False
+            return
         self.order_by_version[state.version] = state
         if self.latest is None or state.newer_than(self.latest):
             self.latest = state
@@ -107,7 +107,6 @@
         if len(self.order_by_version) > MAX_VERSIONS:
             oldest = min(self.order_by_version.values(), key=lambda each: each.serial)
             del self.order_by_version[oldest.version]
-        return True
 
     def _is_overtaken(self, state):
         """Returns whether a later order was completed."""
@@ -187,18 +186,7 @@
             return
         self._has_heard = True
         for state in sorted(states, key=lambda each: (each.serial, each.step)):
-            if not self._service(state.service).apply(state, now):
-                continue
-            self._on_event(
-                "version_ordered",
-                service=state.service,
-                version=state.version,
-                state=rollouts.STATE_NAMES[state.state],
-                serial=state.serial,
-                step=state.step,
-                share=state.share,
-                moves_copies=int(state.moves_copies),
-            )
+            self._service(state.service).apply(state, now)
 
     def retain_services(self, names):
         """Forgets the services that are not named, except those with orders."""
@@ -259,9 +247,9 @@
         # A share of 1 means that the version is sound, and that the others may stop soon.
         if order.share >= 1.0 and not _has_usable(accepted, now):
             return ordered or accepted
-        if accepted or not known.is_alone(order.version, now):
+        if _has_usable(accepted, now) or not known.is_alone(order.version, now):
             return accepted
-        return ordered
+        return ordered if _has_usable(ordered, now) else accepted or ordered
 
     def copy_targets(self, service: str, targets: list, now: float) -> list:
         """Returns the targets that may hold copies of running streams.
@@ -299,9 +287,7 @@
         if not self.may_resume(service, version):
             return True
         order = known.running
-        if order is None or not order.moves_copies:
-            return False
-        return version != order.version and order.version in known.seen_at_by_version
+        return order is not None and order.moves_copies and version != order.version
 
     def _observe(self, service, targets, now):
         """Returns the service's `_ServiceVersions` and its ready targets by version."""
