Judge and record roll-outs of a service's version

An operator's order to move a service to another version had no place in the system. Control keeps the order and its steps in its log, the leader judges the evidence of all gateways, and hubs publish the state.

--- a/chiveswitch/core/codes.py
+++ b/chiveswitch/core/codes.py
@@ -66,6 +66,7 @@
     BUNDLE_UNKNOWN = 6009
     MEMBER_CHANGE_REFUSED = 6010
     FENCED = 6011
+    ROLLOUT_CONFLICT = 6012
     FRAME_INVALID = 7001
     FRAME_TOO_LARGE = 7002
     VERSION_UNSUPPORTED = 7003
@@ -136,6 +137,7 @@
     Code.BUNDLE_UNKNOWN: Meaning(RunStatus.NOT_RUN, RetryAdvice.NO, 404),
     Code.MEMBER_CHANGE_REFUSED: Meaning(RunStatus.NOT_RUN, RetryAdvice.LATER, 409),
     Code.FENCED: Meaning(RunStatus.NOT_RUN, RetryAdvice.NO, 409),
+    Code.ROLLOUT_CONFLICT: Meaning(RunStatus.NOT_RUN, RetryAdvice.NO, 409),
     Code.FRAME_INVALID: Meaning(RunStatus.NOT_RUN, RetryAdvice.NO, 400),
     Code.FRAME_TOO_LARGE: Meaning(RunStatus.NOT_RUN, RetryAdvice.NO, 413),
     Code.VERSION_UNSUPPORTED: Meaning(RunStatus.NOT_RUN, RetryAdvice.NO, 400),
--- a/chiveswitch/core/control_state.py
+++ b/chiveswitch/core/control_state.py
@@ -222,6 +222,7 @@
         fence_by_target: FenceEntry by target, oldest first.
         audit: Audit trail as a list of AuditEntry, oldest first.
         published: PublishedEntry of the route bundle in force, or None.
+        rollout_by_service: RolloutEntry of the latest order by service, the oldest one first.
     """
 
     __slots__ = (
@@ -242,6 +243,7 @@
         "fence_by_target",
         "audit",
         "published",
+        "rollout_by_service",
     )
 
     def __init__(self, limits: Limits):
@@ -258,6 +260,7 @@
         self.fence_by_target = {}
         self.audit = []
         self.published = None
+        self.rollout_by_service = {}
 
     def apply(self, index: int, term: int, data: bytes) -> expression.Result:
         """Applies one committed command.
@@ -374,6 +377,8 @@
             audit=list(self.audit),
             limits=self.limits.text(),
             published=[] if self.published is None else [self.published],
+            # Missing without orders, so that earlier versions understand the snapshot.
+            rollouts=list(self.rollout_by_service.values()) or None,
         )
         return strict.encode(record)
 
@@ -412,6 +417,7 @@
     state.fence_by_target = {entry.target: entry for entry in record.fences}
     state.audit = record.audit
     state.published = record.published[0] if record.published else None
+    state.rollout_by_service = {entry.service_name: entry for entry in record.rollouts or []}
     for entry in record.intents:
         state.intent_by_key[entry.account, entry.key] = entry
         if entry.state in (FINISHED, RELEASED):
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -13,6 +13,7 @@
     prompt_quarantine,
     retry,
     routing,
+    versions,
 )
 from chiveswitch.forwarding import channel as channels
 from chiveswitch.forwarding import exchange, pauses, pool, rate_limiter
@@ -172,6 +173,7 @@
             `cancel_start`.
         drain: `Drain` of a stopping process, or None.
         open_requests: Set of the `AdmittedRequest`s in progress.
+        versions: `versions.VersionPolicy` with the versions that may get requests.
         rng: Random number generator for the choice of services and targets.
     """
 
@@ -197,6 +199,7 @@
         "starting_streams",
         "drain",
         "open_requests",
+        "versions",
         "rng",
         "_pace_by_service",
         "_tasks",
@@ -235,6 +238,7 @@
         self.drain = None
         self.open_requests = set()
         self.rng = random.Random()
+        self.versions = versions.VersionPolicy(settings.rollout, self.rng)
         self.limiter = rate_limiter.RateLimiter(log, metrics, settings.name, self.spawn, self.rng)
         self.quarantine = prompt_quarantine.PromptQuarantine(
             self.rng, self._on_prompt_held, self._on_prompt_released
--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -30,6 +30,7 @@
     availability_zone = "a"
     stop_grace_s = 8.0
     retry = retry.ServiceRetryLimits(0.8, 150, 10)
+    rollout = None
 
 
 class GatewayFixture:
--- a/chiveswitch/peers/control.thrift
+++ b/chiveswitch/peers/control.thrift
@@ -30,6 +30,16 @@
 // Writes, approves and rolls out a route bundle in one command; content is compressed JSON.
 struct PublishRoutes { 1: required string actor, 2: required i64 version,
   3: required binary content, 4: required binary signature }
+// Orders the roll-out of a version of a service's targets; share: first share of the requests.
+struct StartRollout { 1: required string actor, 2: required string service_name,
+  3: required string version, 4: required i64 duration_ms, 5: required double share,
+  6: required binary signature }
+// A step of the order in the given revision. spent and total: requests to the version and to the
+// service so far. state: 0 running, 1 completed, 2 rolled back.
+struct AdvanceRollout { 1: required string service_name, 2: required i64 serial,
+  3: required i64 revision, 4: required i32 state, 5: required double share,
+  6: required bool moves_copies, 7: required i64 spent, 8: required i64 total,
+  9: required string reason }
 
 struct Answer { 1: required i32 code, 2: required string message, 3: required string kind,
   4: required i64 number, 5: required binary digest, 6: required i32 status,
@@ -53,6 +63,14 @@
   6: required i64 generation, 7: required string operation_id, 8: required bool finished,
   9: required i64 time_ms }
 struct FenceEntry { 1: required string target, 2: required i64 term, 3: required i64 number }
+// serial: log index of the order. step rises with each change that gateways have to learn, revision
+// with each change. changed_ms: time of the last change.
+struct RolloutEntry { 1: required string service_name, 2: required string version,
+  3: required string actor, 4: required binary signature, 5: required i32 state,
+  6: required i64 serial, 7: required i64 step, 8: required i64 revision, 9: required double share,
+  10: required bool moves_copies, 11: required i64 spent, 12: required i64 total,
+  13: required i64 started_ms, 14: required i64 duration_ms, 15: required i64 changed_ms,
+  16: required string reason }
 struct AuditEntry { 1: required i64 index, 2: required i64 time_ms, 3: required string actor,
   4: required string action, 5: required i64 version, 6: required binary digest,
   7: required i64 serial }
@@ -64,4 +82,4 @@
   10: required list<OperationEntry> operations, 11: required list<IntentEntry> intents,
   12: required list<RequestEntry> requests, 13: required list<FenceEntry> fences,
   14: required list<AuditEntry> audit, 15: required string limits,
-  16: required list<PublishedEntry> published }
+  16: required list<PublishedEntry> published, 17: optional list<RolloutEntry> rollouts }
--- a/chiveswitch/peers/control_client.py
+++ b/chiveswitch/peers/control_client.py
@@ -172,6 +172,29 @@
         answered = await self._call_leader(kind, payload, rpc.PublishedAnswer, deadline)
         return answered.map(lambda pair: pair[1]).map_error(_as_unavailable)
 
+    async def send_evidence(self, report, deadline: float) -> expression.Result:
+        """Sends an EvidenceReport of `control_rpc.thrift` to the leader.
+
+        Returns:
+            Ok; CONTROL_UNAVAILABLE if the leader has certainly not counted the report; MAY_HAVE_RUN
+            if it may have.
+        """
+        payload = strict.encode(report)
+        kind = kinds.Kind.CONTROL_EVIDENCE
+        answered = await self._call_leader(kind, payload, rpc.EvidenceAnswer, deadline)
+        return answered.map(lambda pair: pair[1])
+
+    async def fetch_rollout(self, service: str, deadline: float) -> expression.Result:
+        """Reads the latest order of a service, confirmed by a majority.
+
+        Returns:
+            Ok with a RolloutAnswer of `control_rpc.thrift`, or CONTROL_UNAVAILABLE.
+        """
+        payload = strict.encode(rpc.ReadRollout(service_name=service))
+        kind = kinds.Kind.CONTROL_ROLLOUTS
+        answered = await self._call_leader(kind, payload, rpc.RolloutAnswer, deadline)
+        return answered.map(lambda pair: pair[1]).map_error(_as_unavailable)
+
     async def join(self, member_id: str, address: str, deadline: float) -> expression.Result:
         """Asks the leader to add this process to the members.
 
--- a/chiveswitch/peers/control_rpc.thrift
+++ b/chiveswitch/peers/control_rpc.thrift
@@ -41,6 +41,23 @@
   3: required string leader_address, 4: required i64 version, 5: required binary content,
   6: required binary signature }
 
+// Counts of answers that a gateway has seen since its last report, see core/rollouts.py; latencies
+// ends with the last bucket that is not empty. A report that is sent again has the same sequence.
+struct EvidenceCounts { 1: required string service_name, 2: required string version,
+  3: required string route, 4: required i32 requests, 5: required i32 failures,
+  6: required list<i32> latencies }
+struct EvidenceReport { 1: required string node, 2: required i64 incarnation,
+  3: required i64 sequence, 4: required list<EvidenceCounts> counts }
+struct EvidenceAnswer { 1: required i32 code, 2: required string message,
+  3: required string leader_address }
+
+// Requests the latest order of a service, confirmed by a majority. state: 0 running, 1 completed, 2
+// rolled back.
+struct ReadRollout { 1: required string service_name }
+struct RolloutAnswer { 1: required i32 code, 2: required string message,
+  3: required string leader_address, 4: required bool found, 5: required string version,
+  6: required i32 state }
+
 // A process with a disk requests membership. is_member says whether it is a member already.
 struct Join { 1: required string member_id, 2: required string address }
 struct JoinAnswer { 1: required i32 code, 2: required string message,
--- a/chiveswitch/peers/control_server.py
+++ b/chiveswitch/peers/control_server.py
@@ -23,6 +23,7 @@
     leases,
     no_telemetry,
     publication,
+    rollout_orders,
 )
 from chiveswitch.core import consensus_messages as messages
 from chiveswitch.peers import consensus_codec, kinds, links, strict
@@ -30,8 +31,8 @@
 log = logging.getLogger("chiveswitch.control")
 
 rpc = strict.load("control_rpc.thrift")
-# Importing `publication` registers its command with `control_state`; this use keeps the import.
-PUBLISH = publication.publish_routes
+# Importing these modules registers their commands with `control_state`; this use keeps the imports.
+COMMAND_HANDLERS = (publication.publish_routes, rollout_orders.start_rollout)
 
 DISK_FULL_RETRY_SECONDS = 0.2
 # Heartbeats that arrive within this time share one confirmation round with the majority. With one
--- a/chiveswitch/peers/hub.py
+++ b/chiveswitch/peers/hub.py
@@ -135,6 +135,8 @@
         published: Function that returns the `PublishedBundle`.
         is_member: Function that returns whether this process is a control member and thus a hub.
         on_change: Called with each new or changed `Entry`, to update the process's own view.
+        rollouts: Function that returns the RolloutStates of `hub_thrift` to publish, or None if
+            there are none or the process does not know the present ones.
     """
 
     __slots__ = (
@@ -146,6 +148,7 @@
         "published",
         "is_member",
         "on_change",
+        "rollouts",
         "_heartbeat_s",
         "_entry_by_key",
         "_watch_futures",
@@ -168,6 +171,7 @@
         self.published = published
         self.is_member = is_member
         self.on_change = on_change
+        self.rollouts = lambda: None
         self._heartbeat_s = heartbeat_s
         self._entry_by_key = {}
         self._watch_futures = set()
@@ -328,6 +332,11 @@
         self.on_change(entry)
         self.schedule_watch_answers()
 
+    def publish_rollouts(self):
+        """Answers all watches after a change of the orders, which each answer lists in full."""
+        self.position += 1
+        self.schedule_watch_answers()
+
     def schedule_watch_answers(self):
         """Answers all waiting watches after a delay, in which further changes are collected."""
         if self._answer_timer is None and self._watch_futures:
@@ -484,12 +493,14 @@
             losses=[],
             prompts=None,
             limits=None,
+            rollouts=None,
         )
         if watch.wants_bundle and published.version > watch.known_version:
             answer.content = published.content
             answer.signature = published.signature
         if not is_hub:
             return answer
+        answer.rollouts = self.rollouts()
         position = watch.position if watch.hub_incarnation == self.incarnation else -1
         for entry in reversed(self._entry_by_key.values()):
             if entry.position <= position:
--- a/chiveswitch/peers/hub.thrift
+++ b/chiveswitch/peers/hub.thrift
@@ -58,6 +58,12 @@
 struct QuotaGrant { 1: required string target_id, 2: required i32 delay_ms, 3: required i32 retry_after_ms }
 struct QuotaGrants { 1: required list<QuotaGrant> grants }
 
+// The latest order of a service; see core/rollouts.py. valid_ms: time for which the share of a running
+// order may be used.
+struct RolloutState { 1: required string service_name, 2: required string version, 3: required i32 state,
+  4: required i64 serial, 5: required i64 step, 6: required double share,
+  7: required bool moves_copies, 8: required i32 valid_ms }
+
 struct Watch { 1: required NodeReport node, 2: required i64 hub_incarnation, 3: required i64 position,
   4: required i64 known_version, 5: required bool wants_bundle, 6: required list<RunReport> runs,
   7: required list<LossReport> losses }
@@ -66,7 +72,7 @@
   7: required binary content, 8: required binary signature, 9: required list<TargetReport> targets,
   10: required list<NodeReport> nodes, 11: required list<RunReport> runs,
   12: required list<LossReport> losses, 13: optional list<PromptReport> prompts,
-  14: optional list<LimitReport> limits }
+  14: optional list<LimitReport> limits, 15: optional list<RolloutState> rollouts }
 
 struct Report { 1: required TargetReport target }
 struct ReportAnswer { 1: required bool accepted, 2: required string hub_address }
--- a/chiveswitch/peers/hub_watch.py
+++ b/chiveswitch/peers/hub_watch.py
@@ -113,10 +113,10 @@
             view: The node's view: `node_report()` returns the own NodeReport, `known_version()` the
                 version of the bundle, and `apply_target_reports`, `apply_node_reports`,
                 `apply_run_reports`, `apply_loss_reports`, `apply_prompt_reports`,
-                `apply_limit_reports`, `apply_bundle`, `discard_hub_reports` and `log_hub_state`
-                apply what was received; `held_prompt_reports` returns the PromptReports of
-                quarantines in force, `own_limits` the LimitReports of limits seen here, and
-                `known_leaves` the TargetReports of leaves that are missing in a list;
+                `apply_limit_reports`, `apply_rollouts`, `apply_bundle`, `discard_hub_reports` and
+                `log_hub_state` apply what was received; `held_prompt_reports` returns the
+                PromptReports of quarantines in force, `own_limits` the LimitReports of limits seen
+                here, and `known_leaves` the TargetReports of leaves that are missing in a list;
                 `log_watch_timeout`, `log_bundle_announced` and `log_bundle_requested` log the
                 watches.
             seeds: Peer addresses from the settings, watched until the members are known.
@@ -455,4 +455,6 @@
         self._view.apply_loss_reports(reversed(answer.losses))
         self._view.apply_prompt_reports(reversed(answer.prompts or []))
         self._view.apply_limit_reports(reversed(answer.limits or []))
+        if answer.rollouts is not None:
+            self._view.apply_rollouts(answer.rollouts)
         self.update_members(hub.Members(answer.members_index, answer.hubs))
--- a/chiveswitch/platform/api.py
+++ b/chiveswitch/platform/api.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from chiveswitch.core import codes, routing
+from chiveswitch.core import codes, rollouts, routing
 from chiveswitch.platform import documents
 
 JSON_HEADERS = [("Content-Type", "application/json")]
@@ -19,6 +19,13 @@
 # Largest body of a heartbeat or leave, and of requests that need none.
 MAX_SMALL_BODY_BYTES = 64 * 1024
 
+# Statuses of failures for which the operator's document is to blame; the others may pass.
+STATUS_BY_CODE = {
+    codes.Code.BUNDLE_INVALID: 400,
+    codes.Code.BAD_REQUEST: 400,
+    codes.Code.ROLLOUT_CONFLICT: 409,
+}
+
 # Keys are (HTTP method, first segment of the path).
 HANDLER_BY_ROUTE = {}
 
@@ -54,10 +61,10 @@
 
 
 def _send_failure(responder, failure):
-    """Sends a failure: status 400 if the sender's document is invalid, otherwise 503."""
-    is_client_error = failure.code in (codes.Code.BUNDLE_INVALID, codes.Code.BAD_REQUEST)
+    """Sends a failure with its status of `STATUS_BY_CODE`, or 503."""
+    status = STATUS_BY_CODE.get(failure.code, 503)
     document = {"code": int(failure.code), "name": failure.code.name, "error": failure.message}
-    _send_json(responder, 400 if is_client_error else 503, document)
+    _send_json(responder, status, document)
 
 
 @route("GET", "ready")
@@ -152,6 +159,44 @@
     await _report_target(node, responder, report)
 
 
+@route("POST", "rollouts")
+async def post_rollout(node, request, responder, segments):
+    """Orders a roll-out and responds once control has confirmed the order."""
+    if node.rollouts is None or segments:
+        responder.send(404, [])
+        return
+    decoded = documents.decode_rollout(request.body)
+    if decoded.is_error():
+        node.log.line("rollout", "order_refused", reason=decoded.error.message[:200])
+        _send_failure(responder, decoded.error)
+        return
+    order = decoded.ok
+    result = await node.rollouts.order(
+        order.service, order.version, order.duration_s, OPERATOR_NAME
+    )
+    if result.is_error():
+        _send_failure(responder, result.error)
+        return
+    _send_json(responder, 200, {"service": order.service, "target": order.version})
+
+
+@route("GET", "rollouts")
+async def get_rollout(node, _request, responder, service_segments):
+    """Responds with the state of a service's latest roll-out."""
+    if node.rollouts is None or not service_segments:
+        responder.send(404, [])
+        return
+    result = await node.rollouts.read(urllib.parse.unquote("/".join(service_segments)))
+    if result.is_error():
+        _send_failure(responder, result.error)
+        return
+    if not result.ok.found:
+        responder.send(404, [])
+        return
+    document = {"state": rollouts.STATE_NAMES[result.ok.state], "target": result.ok.version}
+    _send_json(responder, 200, document)
+
+
 async def _report_target(node, responder, report):
     result = await node.report_target(report)
     if result.is_error():
--- a/chiveswitch/platform/documents.py
+++ b/chiveswitch/platform/documents.py
@@ -147,6 +147,42 @@
     return routing.Account(name=_text(document, "name"), keys=keys, priority=priority)
 
 
+class RolloutOrder:
+    """An operator's order to move a service's requests to the targets of a version.
+
+    Attributes:
+        service: Name of the service.
+        version: The version.
+        duration_s: Seconds until the roll-out must have ended.
+    """
+
+    __slots__ = ("service", "version", "duration_s")
+
+    def __init__(self, service: str, version: str, duration_s: float):
+        self.service = service
+        self.version = version
+        self.duration_s = duration_s
+
+
+def decode_rollout(body: bytes) -> expression.Result:
+    """Decodes the order of a roll-out.
+
+    Returns:
+        Ok with the `RolloutOrder`, or BAD_REQUEST.
+    """
+    try:
+        document = orjson.loads(body)
+        return expression.Ok(
+            RolloutOrder(
+                _text(document, "service"),
+                _text(document, "target"),
+                float(_number(document, "duration-s")),
+            )
+        )
+    except (orjson.JSONDecodeError, FieldError) as error:
+        return codes.failure(codes.Code.BAD_REQUEST, f"roll-out: {error}")
+
+
 def decode_config(body: bytes) -> expression.Result:
     """Decodes the operator's config.
 
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -41,7 +41,7 @@
     strict,
 )
 from chiveswitch.storage import data_folder, files
-from chiveswitch.tools import node_leaves, node_limits, node_view
+from chiveswitch.tools import node_leaves, node_limits, node_rollouts, node_view
 
 log = logging.getLogger("chiveswitch.node")
 
@@ -140,6 +140,8 @@
         hub: `hub.Hub`, which serves watches while the node is a control member.
         leave_store: `leave_store.LeaveStore` of the hub, or None without a disk.
         watcher: `hub_watch.Watcher`, which follows all hubs.
+        rollouts: `node_rollouts.RolloutExchange`, or None if operators order no roll-outs.
+        incarnation: Number of this start; a later start of the node has a higher one.
     """
 
     __slots__ = (
@@ -154,6 +156,8 @@
         "hub",
         "leave_store",
         "watcher",
+        "rollouts",
+        "incarnation",
         "_listeners",
         "_api_servers",
         "_caller_server",
@@ -166,7 +170,6 @@
         "_stop_asked_at",
         "_ends_by",
         "_answers_until",
-        "_incarnation",
         "_was_ready",
         "_limit_exchange",
         "_leave_exchange",
@@ -194,12 +197,12 @@
             dialect, self.table, self.log, self.metrics, settings, self._report_run
         )
         # From the time of day, so that incarnations of one name also rise after a disk is lost.
-        self._incarnation = time.time_ns() // 1000
+        self.incarnation = time.time_ns() // 1000
         self._signer = routing.Signer(settings.operator_secret)
         self._rng = random.Random()
         self.view = node_view.NodeView(
             settings,
-            self._incarnation,
+            self.incarnation,
             self.table,
             self.forwarder.run_table,
             self.log,
@@ -224,6 +227,9 @@
             self.is_member,
             self._on_hub_changed,
         )
+        self.rollouts = None
+        if settings.rollout is not None:
+            self.rollouts = node_rollouts.RolloutExchange(self)
         self.leave_store = None
         self.control = None
         self.client = control_client.ControlClient(settings.seeds)
@@ -264,7 +270,7 @@
             disk=int(bool(settings.data_folder)),
             first=int(settings.first_start),
             seeds=",".join(settings.seeds),
-            incarnation=self._incarnation,
+            incarnation=self.incarnation,
         )
         try:
             opened = await self._start_peers()
@@ -287,6 +293,8 @@
             self._maintain_membership(),
         ):
             self._tasks.append(loop.create_task(coroutine))
+        if self.rollouts is not None:
+            self._tasks.append(loop.create_task(self.rollouts.run()))
         futures = [self._stop_future]
         if self.control is not None:
             futures.append(self.control.failed)
@@ -398,6 +406,8 @@
             **self._limit_exchange.handler_by_kind,
             **self._leave_exchange.handler_by_kind,
         }
+        if self.rollouts is not None:
+            handler_by_kind.update(self.rollouts.handler_by_kind)
         host, _, port = settings.peer_address.rpartition(":")
         if not settings.data_folder:
             self._peer_server = links.Server(handler_by_kind)
@@ -439,6 +449,8 @@
             gauges["control_voters"] = lambda: len(node.log.configuration().voters)
             gauges["control_learners"] = lambda: len(node.log.configuration().learners)
         limiter = self.forwarder.limiter
+        if self.rollouts is not None:
+            gauges["rollouts_running"] = self.rollouts.running_count
         gauges["targets_limited"] = lambda: len(limiter.table.in_force())
         self.metrics.target_gauge_by_name["target_limit"] = limiter.limit_by_target
         self.metrics.target_gauge_by_name["target_limit_use"] = limiter.use_by_target
@@ -511,6 +523,8 @@
         entry = self.control.state.published
         if entry is not None:
             self.view.apply_bundle(entry.version, entry.content, entry.signature, "control")
+        if self.rollouts is not None:
+            self.rollouts.on_control_applied()
 
     def _on_bundle_changed(self, bundle):
         self.forwarder.set_bundle(bundle)
@@ -828,6 +842,10 @@
             )
         return expression.Ok(self.forwarder.bundle)
 
+    def sign(self, content: bytes) -> bytes:
+        """Returns the signature of an operator's order with the operator's key."""
+        return self._signer.sign(content)
+
     def find_faster_node(self, size: int) -> str:
         """Returns the control address of a node that should exchange a document with an operator.
 
--- a/chiveswitch/tools/node_view.py
+++ b/chiveswitch/tools/node_view.py
@@ -62,6 +62,7 @@
         on_limit_report: Called with each received LimitReport of `hub_thrift`.
         own_limits: Function that returns the LimitReports of limits in force that this node has
             learned last.
+        on_rollouts: Called with the list of RolloutStates of `hub_thrift` of each hub's answer.
         known_leaves: Function that returns the TargetReports of known leaves that are missing in a
             hub's TargetReports.
     """
@@ -76,6 +77,7 @@
         "on_limit_report",
         "own_limits",
         "known_leaves",
+        "on_rollouts",
         "_settings",
         "_incarnation",
         "_table",
@@ -96,6 +98,7 @@
         self.on_limit_report = lambda report: None
         self.own_limits = list
         self.known_leaves = lambda hub_reports: []
+        self.on_rollouts = lambda states: None
         self._settings = settings
         self._incarnation = incarnation
         self._table = table
@@ -252,6 +255,10 @@
         """Passes reports of limits on to `on_limit_report`."""
         self._apply_each(self.on_limit_report, reports)
 
+    def apply_rollouts(self, states):
+        """Passes the states of roll-outs on to `on_rollouts`."""
+        self.on_rollouts(states)
+
     def discard_hub_reports(self, hub_address: str):
         """Discards all reports of a hub that has restarted or is no longer watched."""
         self._table.reset_hub(hub_address)
