--- a/chiveswitch/core/rollouts.py
+++ b/chiveswitch/core/rollouts.py
@@ -20,12 +20,12 @@
 VALID_SECONDS = 3.0
 # Seconds before the deadline at which a version is accepted: control has to confirm it by then. At
 # most MAX_MARGIN_SHARE of the duration.
-COMPLETION_MARGIN_SECONDS = 0.8
+COMPLETION_MARGIN_SECONDS = 0.6
 MAX_MARGIN_SHARE = 0.15
 # Seconds before its acceptance in which a version gets all requests, so that requests end at the
 # other targets and streams get their copies: the least, within MAX_FULL_SHARE of the duration, and
 # the most.
-MIN_FULL_SECONDS = 1.2
+MIN_FULL_SECONDS = 1.0
 MAX_FULL_SECONDS = 4.0
 MAX_FULL_SHARE = 0.3
 # Share between the first one and 1.0, under which a version bears load beside the others.
@@ -44,6 +44,8 @@
 MIN_CANARY_SHARE = 0.005
 # A changed canary share is published only if it differs by this factor from the one in force.
 SHARE_CHANGE_FACTOR = 1.5
+# Requests for whose sake a canary share is lowered; fewer are left to the rest of the slack.
+MIN_SAVED_REQUESTS = 5
 # Seconds of observation before the canary share is adapted to the rate of requests.
 RATE_SECONDS = 1.5
 
@@ -67,7 +69,7 @@
 # Probabilities below which a difference is not by chance: of a verdict, and of a doubt that keeps a
 # share from being raised.
 VERDICT_CHANCE = 2e-4
-DOUBT_CHANCE = 1e-2
+DOUBT_CHANCE = 5e-3
 MIN_BAD_ANSWERS = 3
 # Seconds from the first to the last bad answers, without which they may have one cause that passes,
 # such as a lost zone; the second one once the version gets all requests.
@@ -102,7 +104,7 @@
 LONE_SLOW_EXCESS = Excess(1.5, 0.5)
 # An answer is slow above a quantile of the others' times by a number of buckets; two are a factor
 # of 2.
-SLOW_BOUNDS = ((0.5, 3), (0.9, 2))
+SLOW_BOUNDS = ((0.5, 2), (0.9, 2))
 LONE_SLOW_BOUNDS = ((0.9, 3),)
 
 
@@ -436,8 +438,8 @@
         # Answers of the last BASELINE_SECONDS, and all under about the share in force.
         self._slots = []
         self._sums = Slot(now)
-        # Answers of the version, and of the others.
-        self._answers = [0, 0]
+        # Answers of the version, and of the others. A former leader has judged those to the version.
+        self._answers = [order.spent, 0]
         self._watched_since = now
         self._watched_total = 0
         self._comparable_since = now
@@ -491,7 +493,7 @@
         """Returns the share until the last part, so that enough exposure is left for that."""
         order = self.order
         rate = self.rate(now)
-        canary_s = self._completion_at - self._min_full_s - now
+        canary_s = self._full_by - now
         if rate <= 0 or canary_s <= 0:
             return order.share
         allowed = self.allowed(now)
@@ -509,6 +511,10 @@
         margin_s = min(COMPLETION_MARGIN_SECONDS, MAX_MARGIN_SHARE * self._duration)
         return self.order.deadline - margin_s
 
+    @property
+    def _full_by(self):
+        return self._completion_at - self._min_full_s
+
     @property
     def _min_full_s(self):
         return min(MIN_FULL_SECONDS, MAX_FULL_SHARE * self._duration)
@@ -527,7 +533,7 @@
         if now >= order.deadline:
             return Decision(ROLLED_BACK, 0.0, False, "the deadline passed before all requests")
         answers = self._answers[0]
-        if now >= self._completion_at - self._min_full_s:
+        if now >= self._full_by:
             if is_doubtful:
                 return Decision(ROLLED_BACK, 0.0, False, f"doubtful: {finding.reason}")
             if answers:
@@ -569,7 +575,8 @@
         share = self._canary_share(now)
         if share > order.share * SHARE_CHANGE_FACTOR and may_rise and self._answers[1]:
             return Decision(RUNNING, share, False, "adapted to the rate of requests")
-        if share < order.share / SHARE_CHANGE_FACTOR:
+        saved = (order.share - share) * self.rate(now) * (self._full_by - now)
+        if share < order.share / SHARE_CHANGE_FACTOR and saved > MIN_SAVED_REQUESTS:
             return Decision(RUNNING, share, False, "adapted to the rate of requests")
         return None
 
