--- a/chiveswitch/core/rollouts.py
+++ b/chiveswitch/core/rollouts.py
@@ -438,7 +438,7 @@
         # Answers of the last BASELINE_SECONDS, and all under about the share in force.
         self._slots = []
         self._sums = Slot(now)
-        # Answers of the version, and of the others. A former leader has judged those to the version.
+        # Answers of the version, and of the others. A former leader has judged what it counted.
         self._answers = [order.spent, 0]
         self._watched_since = now
         self._watched_total = 0
--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -45,6 +45,7 @@
 {disk}
 serves = ["front", "control", "directory"]
 heartbeat-ms = 500
+contracts = {contracts}
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -68,6 +69,7 @@
         environment: Additional environment variables of the nodes, by name.
         disks: Number of nodes with a disk. These are the first ones; the first three are seeds.
         uncounted: Nodes whose loss does not count towards the tolerated losses.
+        contracts: Names of the contracts in the nodes' settings.
         ips: Address of each node.
         port: Port of each listener by its name, the same on all nodes.
     """
@@ -77,6 +79,7 @@
         self.environment = environment or {}
         self.disks = disks
         self.uncounted = uncounted
+        self.contracts = ["base"]
         # All addresses in 127.0.0.0/8 belong to the loopback interface.
         self.ips = [f"127.0.1.{number + 1}" for number in range(disks + others)]
         names = ("peer", "front", "ready", "control", "directory", "metrics")
@@ -111,6 +114,7 @@
             disk=f'data-dir = "{self.data_folder(number)}"' if has_disk else "",
             link_mbps=DISK_LINK_MBPS if has_disk else LINK_MBPS,
             grace=GRACE_SECONDS,
+            contracts=orjson.dumps(self.contracts).decode(),
             **ports,
         )
         path = self.boot_file(number)
