--- a/chiveswitch/core/rollouts_test.py
+++ b/chiveswitch/core/rollouts_test.py
@@ -1,5 +1,6 @@
 """Tests of the decision on roll-outs, on simulated answers of calls and streams."""
 
+import heapq
 import math
 import random
 
@@ -101,6 +102,8 @@
     judge = rollouts.RolloutJudge(order, LIMITS, 0.0)
     outcome = Outcome()
     held = {}
+    # Answers that are not there yet, as (time, order of insertion, kind, bucket or None).
+    pending = []
     at = 0.0
     while at < duration + 1.0:
         at += DECISION_SECONDS
@@ -121,7 +124,10 @@
             judge = rollouts.RolloutJudge(order, LIMITS, at)
             held.clear()
         if at <= duration:
-            simulate(rng, load, version, environment, at, share, held, outcome)
+            simulate(rng, load, version, environment, at, share, held, pending, outcome)
+        while pending and pending[0][0] <= at:
+            _, _, kind, bucket = heapq.heappop(pending)
+            add_answer(report_of(held, *kind), bucket)
         if at % REPORT_SECONDS == 0:
             judge.record(list(held.values()), at)
             held.clear()
@@ -137,7 +143,18 @@
     return outcome
 
 
-def simulate(rng, load, version, environment, at, share, held, outcome):
+def report_of(held, name, route):
+    return held.setdefault((name, route), rollouts.Evidence("s", name, route))
+
+
+def add_answer(report, bucket):
+    if bucket is None:
+        report.failures += 1
+        return
+    report.latencies[bucket] += 1
+
+
+def simulate(rng, load, version, environment, at, share, held, pending, outcome):
     for route, rate in load.rate_by_route.items():
         count = int(rate * DECISION_SECONDS + rng.random())
         outcome.total += count
@@ -146,8 +163,7 @@
             shared_fails, shared_slow = environment(at)
             fails, slow = version(at, share, route) if is_version else (0.0, 0.0)
             name = "v2" if is_version else "v1"
-            report = held.setdefault((name, route), rollouts.Evidence("s", name, route))
-            report.requests += 1
+            report_of(held, name, route).requests += 1
             outcome.sent += is_version
             own_bad = rng.random() < fails
             is_slow = rng.random() < slow
@@ -155,12 +171,12 @@
                 outcome.bad += 1
                 if outcome.bad == 50:
                     outcome.fiftieth_bad_at = at
-            if own_bad or rng.random() < shared_fails:
-                report.failures += 1
-                continue
+            has_failed = own_bad or rng.random() < shared_fails
             factor = (4.0 if is_slow else 1.0) * (4.0 if rng.random() < shared_slow else 1.0)
             seconds = load.answer_s[route] * factor * math.exp(rng.gauss(0, 0.3))
-            report.latencies[latency_bucket(seconds)] += 1
+            bucket = None if has_failed else latency_bucket(seconds)
+            answer = (at + seconds, outcome.total + len(pending), (name, route), bucket)
+            heapq.heappush(pending, answer)
 
 
 LOADS = {"high": HIGH_LOAD, "low": LOW_LOAD, "both": Load(calls=30, streams=10, safe_calls=20)}
