--- a/chiveswitch/core/rollouts.py
+++ b/chiveswitch/core/rollouts.py
@@ -76,6 +76,7 @@
 MIN_SPAN_SECONDS = 2.0
 MIN_FULL_SPAN_SECONDS = 0.5
 MIN_DOUBTFUL_ANSWERS = 2
+MIN_DOUBTFUL_PORTION = 0.1
 
 
 class Excess:
@@ -97,7 +98,7 @@
         return self.factor * portion + self.surplus
 
 
-FAILURE_EXCESS = Excess(1.5, 0.02)
+FAILURE_EXCESS = Excess(1.5, 0.04)
 SLOW_EXCESS = Excess(1.5, 0.15)
 # Without answers of the others at the same time, a crowd or a lost zone looks like a bad version.
 LONE_FAILURE_EXCESS = Excess(2.0, 0.1)
@@ -385,16 +386,18 @@
         chance: Probability of the difference if the version is as good as the others.
         reason: What differs, with the counts.
         bad: Number of bad answers of the version.
+        portion: Portion of the version's answers that is bad.
         route: Name of the route, or ALL_ROUTES.
         bucket: Bucket above which the bad answers are slow, or None if they are failures.
     """
 
-    __slots__ = ("chance", "reason", "bad", "route", "bucket")
+    __slots__ = ("chance", "reason", "bad", "portion", "route", "bucket")
 
-    def __init__(self, chance=1.0, reason="", bad=0, route="", bucket=None):
+    def __init__(self, chance=1.0, reason="", bad=0, portion=0.0, route="", bucket=None):
         self.chance = chance
         self.reason = reason
         self.bad = bad
+        self.portion = portion
         self.route = route
         self.bucket = bucket
 
@@ -527,7 +530,11 @@
         finding = self.find_difference(now)
         if finding.bad >= MIN_BAD_ANSWERS and finding.chance < VERDICT_CHANCE:
             return Decision(ROLLED_BACK, 0.0, False, finding.reason)
-        is_doubtful = finding.bad >= MIN_DOUBTFUL_ANSWERS and finding.chance < DOUBT_CHANCE
+        is_doubtful = (
+            finding.chance < DOUBT_CHANCE
+            and finding.bad >= MIN_DOUBTFUL_ANSWERS
+            and finding.portion >= MIN_DOUBTFUL_PORTION
+        )
         if order.moves_copies:
             return self._decide_full(now, is_doubtful, finding)
         if now >= order.deadline:
@@ -703,4 +710,4 @@
     if bucket is not None:
         what = f"above {BUCKET_BASE_SECONDS * BUCKET_GROWTH**bucket:.3f} s"
     reason = f"{route}: {bad} of {answers} {what}, others {other_bad} of {other_answers}"
-    return [Finding(chance, reason, bad, route, bucket)]
+    return [Finding(chance, reason, bad, bad / answers, route, bucket)]
