--- a/chiveswitch/peers/hub_test.py
+++ b/chiveswitch/peers/hub_test.py
@@ -450,3 +450,49 @@
         fixture.time = step * hub.LIMIT_INTERVAL_SECONDS / 50
         fixture.hub.record_limit_report(limit_report(2.5, source=f"n{step % 7}"))
     assert len(fixture.changes) == 2
+
+
+def rollout_state(step):
+    return thrift.RolloutState(
+        service_name="s",
+        version="v2",
+        state=0,
+        serial=4,
+        step=step,
+        share=0.05,
+        moves_copies=False,
+        valid_ms=3000,
+    )
+
+
+def test_a_changed_order_of_a_version_reaches_waiting_nodes():
+    # Guards against gateways that go on sending requests to a version after its withdrawal.
+    async def scenario():
+        fixture = HubFixture()
+        states = [rollout_state(1)]
+        fixture.hub.rollouts = lambda: states
+        first = await fixture.watch()
+        assert first.rollouts == [rollout_state(1)]
+        waiting = asyncio.ensure_future(
+            fixture.watch(first.position, first.hub_incarnation, version=3)
+        )
+        await asyncio.sleep(0.01)
+        states[0] = rollout_state(2)
+        fixture.hub.publish_rollouts()
+        async with asyncio.timeout(hub.LONG_POLL_SECONDS / 2):
+            answer = await waiting
+        assert answer.rollouts == [rollout_state(2)]
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_without_orders_has_no_field_for_them():
+    # Guards against nodes of an earlier version that refuse the answers.
+    async def scenario():
+        fixture = HubFixture()
+        answer = await fixture.watch()
+        assert answer.rollouts is None
+        answer = await HubFixture(is_member=False).watch()
+        assert answer.rollouts is None
+
+    asyncio.run(scenario())
--- a/chiveswitch/tools/node_rollouts.py
+++ b/chiveswitch/tools/node_rollouts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 import math
 
 import expression
@@ -13,6 +14,8 @@
 from chiveswitch.core import clock, codes, control_state, rollout_orders, rollouts
 from chiveswitch.peers import control_client, hub, kinds, strict
 
+log = logging.getLogger("chiveswitch.rollouts")
+
 control_thrift = control_state.control_thrift
 rpc = control_client.rpc
 hub_thrift = hub.hub_thrift
@@ -126,15 +129,19 @@
         try:
             while True:
                 await asyncio.sleep(TICK_SECONDS)
-                now = clock.now()
-                self._update_settled(now)
-                self._lead(now)
-                self._apply_own(now)
-                if reporting.done():
-                    reporting.result()
+                # A fault in the judgement of one order must not end the node.
+                try:
+                    self._tick(clock.now())
+                except Exception:
+                    log.exception("rollout: a tick failed")
         finally:
             reporting.cancel()
 
+    def _tick(self, now):
+        self._update_settled(now)
+        self._lead(now)
+        self._apply_own(now)
+
     # Orders and requests of operators.
 
     async def order(self, service: str, version: str, duration_s: float, actor: str):
@@ -336,7 +343,10 @@
     async def _report_evidence(self):
         while True:
             await asyncio.sleep(EVIDENCE_SECONDS)
-            await self.send_evidence()
+            try:
+                await self.send_evidence()
+            except Exception:
+                log.exception("rollout: evidence could not be sent")
 
     async def send_evidence(self):
         """Sends the evidence since the last report to the control leader."""
