--- a/chiveswitch/core/rollouts.py
+++ b/chiveswitch/core/rollouts.py
@@ -107,6 +107,8 @@
 # of 2.
 SLOW_BOUNDS = ((0.5, 2), (0.9, 2))
 LONE_SLOW_BOUNDS = ((0.9, 3),)
+# Answers within 32 ms are never slow: a new connection, or a busy gateway, takes as long.
+MIN_SLOW_BUCKET = 10
 
 
 class RolloutState:
@@ -688,7 +690,7 @@
         return findings
     excess = LONE_SLOW_EXCESS if is_lone else SLOW_EXCESS
     for quantile, more_buckets in LONE_SLOW_BOUNDS if is_lone else SLOW_BOUNDS:
-        bucket = others.quantile_bucket(quantile) + more_buckets
+        bucket = max(MIN_SLOW_BUCKET, others.quantile_bucket(quantile) + more_buckets)
         counts = (version.slower_than(bucket), timed, others.slower_than(bucket), other_timed)
         findings += _find_excess(route, bucket, counts, excess, is_lone)
     return findings
--- a/chiveswitch/core/rollouts_test.py
+++ b/chiveswitch/core/rollouts_test.py
@@ -250,6 +250,19 @@
     assert judge.decide(9.5).state == rollouts.ROLLED_BACK
 
 
+def test_differences_of_some_milliseconds_are_no_reason():
+    # Guards against the withdrawal of a good version because its first requests open connections.
+    order = rollouts.Order("s", "v2", 0.0, 16.0, 0.05)
+    judge = rollouts.RolloutJudge(order, LIMITS, 0.0)
+    for number in range(1, 17):
+        at = number * REPORT_SECONDS
+        fast = rollouts.Evidence("s", "v1", "calls", 20, 0, [20])
+        slower = rollouts.Evidence("s", "v2", "calls", 2, 0, [0] * 8 + [2])
+        judge.record([fast, slower], at)
+        decision = judge.decide(at)
+        assert decision is None or decision.state == rollouts.RUNNING
+
+
 def test_shares_stay_below_the_bound_while_the_rate_is_unknown():
     assert rollouts.first_share(LIMITS) <= LIMITS.share
 
