Leave out engines at which a stream cannot end before its deadline

Cause: the least time of a stream came from the paces of all engines together, so that a late stream could start at a slow engine that cannot finish it.

Change: paces are kept as if engines were of usual speed and scaled by an engine's factor; engines that are too slow for what is left are not chosen while another one is fast enough.

--- a/chiveswitch/core/pace.py
+++ b/chiveswitch/core/pace.py
@@ -21,7 +21,7 @@
 
 
 class StreamPace:
-    """Pace of the recent streams of one service.
+    """Pace of the recent streams of one service, as if all its engines were of usual speed.
 
     All values describe the best streams, without outliers.
     """
@@ -57,6 +57,7 @@
         event_interval_s: float,
         length_share: float,
         now: float,
+        factor: float = 1.0,
     ):
         """Adds a stream that one engine served from its first event to its last.
 
@@ -66,22 +67,23 @@
             event_interval_s: Average seconds between two events.
             length_share: Number of its events as a share of the largest possible number.
             now: Current time in seconds.
+            factor: How long work takes at the engine, 1.0 as usual.
         """
         self._observed_at = now
         if prompt_tokens:
-            self._prefill_seconds_per_token.append(first_event_s / prompt_tokens)
-        self._event_intervals.append(event_interval_s)
+            self._prefill_seconds_per_token.append(first_event_s / prompt_tokens / factor)
+        self._event_intervals.append(event_interval_s / factor)
         self._length_shares.append(length_share)
 
     def least_prefill_s(self, prompt_tokens: int) -> float:
-        """Returns the least seconds in which an engine reads a prompt."""
+        """Returns the least seconds in which an engine of usual speed reads a prompt."""
         per_token = _low_quantile(self._prefill_seconds_per_token)
         if per_token is None:
             per_token = 1 / FAST_PREFILL_TOKENS_PER_SECOND
         return prompt_tokens * per_token
 
     def least_events_s(self, max_events: float, sent_events: int) -> float:
-        """Returns the least seconds in which an engine sends the rest of a stream.
+        """Returns the least seconds in which an engine of usual speed sends the rest of a stream.
 
         Args:
             max_events: Largest possible number of events of the stream.
--- a/chiveswitch/forwarding/forwarder_test.py
+++ b/chiveswitch/forwarding/forwarder_test.py
@@ -9,9 +9,11 @@
     clock,
     decision_log,
     metrics,
+    pace,
     placement,
     prompt_quarantine,
     retry,
+    speeds,
     target_table,
 )
 from chiveswitch.forwarding import calls, forwarder, http_server, streams
@@ -403,6 +405,22 @@
     assert len(reads) == count
 
 
+def test_a_stream_goes_where_it_can_end_in_time(tmp_path):
+    # A late caller while the only idle engine is slow and the other one is busy.
+    async def scenario(fixture):
+        slow, busy = await add_engines(fixture, 2)
+        now = clock.now()
+        for age_s in range(5, 0, -1):
+            fixture.gateway.speeds.observe(speeds.Observation("e0", 1000, 10.0), now - age_s)
+        for _ in range(pace.MIN_STREAMS):
+            fixture.gateway.pace_of("engines").observe(1000, 1.0, 0.01, 0.1, now)
+        fixture.table.target_by_id["e1"].update_load(30, 30, now)
+        await stream(fixture, "r1", **{"X-Deadline-Ms": "3000"})
+        assert (len(slow.runs), len(busy.runs)) == (0, 1)
+
+    run(scenario, tmp_path)
+
+
 def test_a_stream_continues_from_its_copy_after_a_crash_in_the_middle_of_an_event(tmp_path):
     # Guards against lost, repeated and truncated events, and against reading the prompt again.
     async def scenario(fixture):
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -191,8 +191,11 @@
             self.quarantined_part = part
             self.channel.wake_waiter()
 
-    def least_remaining_s(self) -> float:
-        """Returns the least seconds in which an engine without the run's memory can finish."""
+    def _least_usual_s(self):
+        """Returns the least seconds in which an engine of usual speed can finish.
+
+        The engine does not hold the run's memory.
+        """
         admitted, engine = self.admitted, self.admitted.service.engine
         caller = admitted.caller
         if engine is None:
@@ -208,6 +211,26 @@
             least_s += pace.least_events_s(max_events, sent_events)
         return least_s
 
+    def least_remaining_s(self, targets: list) -> float:
+        """Returns the least seconds in which the fastest of some engines can finish.
+
+        Args:
+            targets: Engines without the run's memory.
+        """
+        speed_table, now = self.forwarder.speeds, clock.now()
+        factors = [speed_table.factor(each.target_id, now) for each in targets]
+        return self._least_usual_s() * min(factors, default=1.0)
+
+    def targets_in_time(self, targets: list) -> list:
+        """Returns the targets at which the stream can end before its deadline, or all if none."""
+        least_s, remaining_s = self._least_usual_s(), self.admitted.remaining_s()
+        speed_table, now = self.forwarder.speeds, clock.now()
+        found = []
+        for target in targets:
+            if least_s * speed_table.factor(target.target_id, now) <= remaining_s:
+                found.append(target)
+        return found or targets
+
     def observe_pace(self):
         """Adds the delivered stream to the service's pace, if one engine served all of it."""
         admitted, engine = self.admitted, self.admitted.service.engine
@@ -225,6 +248,7 @@
             (self.delivered_at - first_event_at) / (self.delivered_count - 1),
             self.delivered_count / max_events,
             clock.now(),
+            self.forwarder.speeds.factor(self.run.target_id, clock.now()),
         )
 
     async def adopt_run(self):
@@ -321,6 +345,7 @@
             )
             if each.target_id not in self.excluded_ids
         ]
+        targets = self.targets_in_time(targets)
         loads = forwarder.run_table.load_by_target(clock.now(), forwarder.speeds)
 
         def choose(candidates):
@@ -757,12 +782,12 @@
                 held_part, quarantine_s = held
                 reason = f"{held_part} crashes engines"
                 break
-        least_s = 0.0 if stream.resumes_from_copy else stream.least_remaining_s()
+        targets = forwarder.target_table.ready_targets(admitted.service.name)
+        least_s = 0.0 if stream.resumes_from_copy else stream.least_remaining_s(targets)
         if admitted.remaining_s() < least_s:
             reason = f"needs {least_s:.3f} s of {admitted.remaining_s():.3f} s"
             too_late = True
             break
-        targets = forwarder.target_table.ready_targets(admitted.service.name)
         return_after_s = await pauses.wait_for_end(forwarder, admitted, targets)
         if return_after_s:
             reason = "all engines have asked for a pause"
