--- a/chiveswitch/core/speeds.py
+++ b/chiveswitch/core/speeds.py
@@ -1,4 +1,4 @@
-"""Lasting speed of targets, learned from what they state and from the pace of their streams.
+"""Lasting speed of targets, learned from what they state in their responses.
 
 Targets of one service may run on machines of different speeds and share them with others. A factor
 says how long work takes at a target: 1.0 as usual, 2.0 twice as long. Gateways pool what they
@@ -47,24 +47,24 @@
 
 
 class Observation:
-    """What a target stated at a moment, or what the pace of one of its streams was.
+    """What a target stated in one response.
 
     Attributes:
         target_id: Id of the target.
         born_ms: Start time of its incarnation; see `target_table.Report`.
-        factor: Stated factor, or None.
+        factor: Stated factor.
     """
 
     __slots__ = ("target_id", "born_ms", "factor")
 
-    def __init__(self, target_id: str, born_ms: int, factor: float | None):
+    def __init__(self, target_id: str, born_ms: int, factor: float):
         self.target_id = target_id
         self.born_ms = born_ms
         self.factor = factor
 
     def is_plausible(self) -> bool:
         """Returns whether a target can be as fast as the observation says."""
-        return self.factor is not None and MIN_FACTOR <= self.factor <= MAX_FACTOR
+        return MIN_FACTOR <= self.factor <= MAX_FACTOR
 
 
 class _Evidence:
