--- a/chiveswitch/forwarding/overload_guard.py
+++ b/chiveswitch/forwarding/overload_guard.py
@@ -112,7 +112,13 @@
             The target, or None; and the seconds after which the call may be repeated if there is
             no grant in time for its objective, else 0.
         """
-        service, objective_s = admitted.service.name, admitted.route.objective_s
+        service = admitted.service.name
+        # Calls that could wait longer than others would get the grants of those.
+        objective_s = min(
+            route.objective_s
+            for route in admitted.bundle.routes
+            if service in route.weight_by_service
+        )
         work_s = self.table.work_s(service, objective_s)
         now = clock.now()
         # A lost target has unused grants, which would come first.
--- a/chiveswitch/forwarding/overload_guard_test.py
+++ b/chiveswitch/forwarding/overload_guard_test.py
@@ -86,6 +86,28 @@
     forwarder_test.run(scenario, tmp_path)
 
 
+def test_calls_of_all_routes_wait_equally_long(tmp_path):
+    # Load: calls with a long objective, which would fill the issuer's queue beyond the wait that
+    # those with a short one permit.
+    asked = []
+
+    async def issue(_service, requests, _loads):
+        asked.extend(requests)
+        return [quota.QuotaGrant("", 0.0, 0.3) for _ in requests]
+
+    async def scenario(fixture):
+        for route in fixture.gateway.bundle.routes:
+            if route.path_prefix == "/r/":
+                route.objective_s = 0.1
+        fixture.gateway.overload.connect(issue)
+        (await fixture.add("w0", "plain", "a")).behaviour = "shed"
+        await forwarder_test.call(fixture, "r0", "/w/x")
+        await forwarder_test.call(fixture, "r1", "/w/x")
+        assert 0.0 < asked[-1].max_wait_s <= 0.05
+
+    forwarder_test.run(scenario, tmp_path)
+
+
 def test_no_grant_is_asked_for_a_target_that_was_lost(tmp_path):
     # Load: one of two full targets is lost; its unused grants would be the first ones.
     asked = []
