Take engines that were just lost for no room

Change: only sound engines count as room, and engines that failed the stream are left out. Result: the modules' tests pass; the new test fails without the rule.

--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -244,7 +244,7 @@
     return max(0.0, queued - max(0.0, now - updated_at) * rate)
 
 
-def _preferred_targets(targets, now):
+def preferred_targets(targets: list, now: float) -> list:
     """Returns the healthy targets if there are any, else the overdue ones, else all."""
     healthy = [each for each in targets if each.avoided_until <= now and not each.report.overdue]
     if healthy:
@@ -264,7 +264,7 @@
         now: Current time in seconds.
         rng: Random source.
     """
-    preferred = _preferred_targets(targets, now)
+    preferred = preferred_targets(targets, now)
     if not preferred:
         return None
     if len(preferred) > 2:
--- a/chiveswitch/core/stream_admission.py
+++ b/chiveswitch/core/stream_admission.py
@@ -144,9 +144,13 @@
         if len(priorities) < 2 or not targets:
             self.leave(candidate.stream_id)
             return place
-        tokens = candidate.tokens
-        waits = [placement.engine_wait_s(each, loads, engine, tokens, now) for each in targets]
-        best_wait_s = min(waits)
+        # An engine that was just lost has no load, and is no room.
+        sound = placement.preferred_targets(targets, now)
+        wait_by_id = {
+            each.target_id: placement.engine_wait_s(each, loads, engine, candidate.tokens, now)
+            for each in sound
+        }
+        best_wait_s = min(wait_by_id.values())
         left_s = candidate.deadline - now
         running = sum(placement.running_requests(each, loads, now) for each in targets)
         may_refuse = running >= LEAST_OCCUPIED_SHARE * engine.slots * len(targets)
@@ -155,15 +159,13 @@
             return self._refuse(candidate, priorities, best_wait_s, reason)
         if not candidate.rank.level(priorities):
             return place
-        with_room = [
-            each for each, wait_s in zip(targets, waits, strict=True) if wait_s <= ROOM_SECONDS
-        ]
+        with_room = [each for each in sound if wait_by_id[each.target_id] <= ROOM_SECONDS]
         is_full = len(self.candidate_by_id) > MAX_WAITING
         if may_refuse and is_full and self._is_last(candidate):
             reason = f"{MAX_WAITING} streams wait already"
             return self._refuse(candidate, priorities, best_wait_s, reason)
         is_due = is_full or candidate.is_due(order, now)
-        chance = len(with_room) / (AMPLE_SHARE * len(targets))
+        chance = len(with_room) / (AMPLE_SHARE * len(sound))
         if is_due or (self._is_next(candidate) and self._rng.random() < chance):
             self._record_turn(candidate)
             self.leave(candidate.stream_id)
--- a/chiveswitch/core/stream_admission_test.py
+++ b/chiveswitch/core/stream_admission_test.py
@@ -133,6 +133,23 @@
     assert 1 <= placed <= 16
 
 
+def test_lost_engines_have_no_room():
+    # A zone of engines is lost without a word, and the others have prompts to read. Guards against
+    # streams that are sent to the lost engines, one after the other, because those have no load.
+    targets = engines()
+    for target in targets[:12]:
+        target.record_unreachable(NOW)
+    loads = reading(targets[12:], 3)
+    queue = make_queue()
+    for number in range(20):
+        assert decide(queue, candidate(f"r{number}"), targets, loads).verdict == WAIT
+    loads = reading(targets[30:], 3)
+    decision = decide(make_queue(), candidate(), targets, loads)
+    assert [each.target_id for each in decision.targets] == [
+        each.target_id for each in targets[12:30]
+    ]
+
+
 def test_streams_that_waited_for_a_zone_go_to_it_when_it_is_back():
     # A zone of engines is lost and back within a second, while the others have prompts to read.
     # Guards against prompts that were bound to the other zones meanwhile.
--- a/chiveswitch/forwarding/stream_waits.py
+++ b/chiveswitch/forwarding/stream_waits.py
@@ -56,7 +56,11 @@
         forwarder, admitted, now = self._stream.forwarder, self._stream.admitted, clock.now()
         if self.candidate is None:
             self.candidate = self._make_candidate()
-        ready = forwarder.target_table.ready_targets(admitted.service.name)
+        ready = [
+            each
+            for each in forwarder.target_table.ready_targets(admitted.service.name)
+            if each.target_id not in self._stream.excluded_ids
+        ]
         decision = self._queue().decide(
             self.candidate,
             admitted.service_order,
@@ -74,6 +78,7 @@
             self._preferred_ids = frozenset(each.target_id for each in decision.targets)
         if self.candidate.waiting_since is not None:
             waited_s = now - self.candidate.waiting_since
+            self.candidate.waiting_since = None
             forwarder.metrics.observe("stream_wait", waited_s)
             self._log(
                 "stream_waited",
