Spread refused callers by rank and keep waits out of the learned pace

Cause: streams that all engines turned away were told to return after the same second, and a wait at the gateway made the engines seem slow. Change: where priorities differ, the time to return grows with the rank and is spread; the pace is learned from the time after the wait. Result: the new tests pass, and fail without the change.

--- a/chiveswitch/forwarding/stream_waits.py
+++ b/chiveswitch/forwarding/stream_waits.py
@@ -13,12 +13,14 @@
 
     Attributes:
         candidate: Its `stream_admission.Candidate`, or None before the first step.
+        waited_s: Seconds for which it waited before it was placed.
     """
 
-    __slots__ = ("candidate", "_stream", "_preferred_ids")
+    __slots__ = ("candidate", "waited_s", "_stream", "_preferred_ids")
 
     def __init__(self, stream):
         self.candidate = None
+        self.waited_s = 0.0
         self._stream = stream
         self._preferred_ids = frozenset()
 
@@ -79,6 +81,7 @@
         if self.candidate.waiting_since is not None:
             waited_s = now - self.candidate.waiting_since
             self.candidate.waiting_since = None
+            self.waited_s += waited_s
             forwarder.metrics.observe("stream_wait", waited_s)
             self._log(
                 "stream_waited",
@@ -110,6 +113,18 @@
             return targets
         return [each for each in targets if each.target_id in self._preferred_ids] or targets
 
+    def spread_return(self, seconds: float) -> float:
+        """Returns the seconds after which the refused caller may return.
+
+        Args:
+            seconds: Time that applies if all requests to the service have the same priority.
+        """
+        admitted = self._stream.admitted
+        priorities = admitted.service_order.priorities
+        if len(priorities) < 2:
+            return seconds
+        return self._queue().retry_after_s(admitted.rank, priorities, seconds)
+
     def leave(self):
         """Ends the wait, also when the caller has left."""
         if self.candidate is not None:
--- a/chiveswitch/forwarding/stream_waits_test.py
+++ b/chiveswitch/forwarding/stream_waits_test.py
@@ -1,11 +1,12 @@
 """Tests of streams that wait at their gateway, with a gateway and stand-in workers."""
 
 import asyncio
+import unittest.mock
 
 import orjson
 import pytest
 
-from chiveswitch.core import clock, placement, prompt_quarantine
+from chiveswitch.core import clock, pace, placement, prompt_quarantine
 from chiveswitch.forwarding import forwarder, forwarder_test
 from chiveswitch.platform import documents
 from features import platform_standins
@@ -163,3 +164,41 @@
         assert fixture.executed_request_ids() == []
 
     assert 'reason="needs' in forwarder_test.run(scenario, tmp_path)
+
+
+def test_callers_that_all_engines_turned_away_return_spread_and_by_rank(tmp_path):
+    # A crowd at engines that are full. Guards against callers that all return at the same moment,
+    # the patient ones before the urgent ones.
+    async def scenario(fixture):
+        put_in_force(fixture)
+        (await fixture.add("w0", "engines", "a")).behaviour = "shed"
+        returns = []
+        for prefix in (URGENT, PATIENT):
+            callers = [start(fixture, f"{prefix}{number}", prefix) for number in range(12)]
+            answers = await asyncio.gather(*callers)
+            assert {answer.status for answer in answers} == {503}
+            returns.append([float(answer.value_by_header["retry-after"]) for answer in answers])
+        urgent, patient = returns
+        assert max(urgent) - min(urgent) > 0.3
+        assert sum(urgent) < sum(patient)
+
+    forwarder_test.run(scenario, tmp_path)
+
+
+def test_the_wait_is_no_part_of_the_learned_pace(tmp_path):
+    # A patient stream waits for a second. Guards against refusals because the engines seem slow.
+    async def scenario(fixture):
+        put_in_force(fixture)
+        fixture.gateway.bundle.service_by_name["engines"].engine.event_tokens = 9
+        await fixture.add("w0", "engines", "a")
+        runs = fill(fixture, "w0")
+        patient = start(fixture, "patient", PATIENT)
+        await asyncio.sleep(1.0)
+        assert fixture.gateway.count_waiting_streams() == 1
+        for run in runs:
+            run.ended = True
+        with unittest.mock.patch.object(pace.StreamPace, "observe") as observe:
+            assert (await patient).status == 200
+        assert observe.call_args.args[1] < 0.5
+
+    forwarder_test.run(scenario, tmp_path)
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -221,7 +221,7 @@
         first_event_at = admitted.request.received_at + self.first_event_s
         self.forwarder.pace_of(admitted.service.name).observe(
             caller.prompt_tokens,
-            self.first_event_s,
+            max(0.0, self.first_event_s - self.wait.waited_s),
             (self.delivered_at - first_event_at) / (self.delivered_count - 1),
             self.delivered_count / max_events,
             clock.now(),
@@ -854,4 +854,5 @@
     if stream.limited_for_s > 0:
         forwarder.fail_request(admitted, codes.Code.TARGETS_LIMITED, reason, stream.limited_for_s)
         return
-    forwarder.fail_request(admitted, codes.Code.QUEUE_FULL, reason, REJECTED_RETRY_AFTER_SECONDS)
+    retry_after_s = stream.wait.spread_return(REJECTED_RETRY_AFTER_SECONDS)
+    forwarder.fail_request(admitted, codes.Code.QUEUE_FULL, reason, retry_after_s)
