--- a/chiveswitch/core/placement.py
+++ b/chiveswitch/core/placement.py
@@ -256,7 +256,7 @@
     return max(0.0, queued - max(0.0, now - updated_at) * rate)
 
 
-def _preferred_targets(targets, now):
+def preferred_targets(targets: list, now: float) -> list:
     """Returns the healthy targets if there are any, else the overdue ones, else all."""
     healthy = [each for each in targets if each.avoided_until <= now and not each.report.overdue]
     if healthy:
@@ -287,7 +287,7 @@
         rng: Random source.
         speed_table: Speeds of the targets.
     """
-    preferred = _preferred_targets(targets, now)
+    preferred = preferred_targets(targets, now)
     if not preferred:
         return None
     if len(preferred) > 2:
--- a/chiveswitch/forwarding/stream_waits.py
+++ b/chiveswitch/forwarding/stream_waits.py
@@ -13,12 +13,14 @@
 
     Attributes:
         candidate: Its `stream_admission.Candidate`, or None before the first step.
+        waited_s: Seconds for which it waited before it was placed.
     """
 
-    __slots__ = ("candidate", "_stream", "_preferred_ids")
+    __slots__ = ("candidate", "waited_s", "_stream", "_preferred_ids")
 
     def __init__(self, stream):
         self.candidate = None
+        self.waited_s = 0.0
         self._stream = stream
         self._preferred_ids = frozenset()
 
@@ -32,7 +34,7 @@
     def _queue(self):
         return self._stream.forwarder.stream_queue_of(self._stream.admitted.service.name)
 
-    def _make_candidate(self):
+    def _make_candidate(self, targets):
         admitted = self._stream.admitted
         return stream_admission.Candidate(
             stream_id=admitted.caller.request_id,
@@ -40,7 +42,7 @@
             rank=admitted.rank,
             tokens=self._stream.run.tokens,
             deadline=admitted.deadline,
-            least_s=self._stream.least_remaining_s(),
+            least_s=self._stream.least_remaining_s(targets),
         )
 
     async def take_step(self) -> stream_admission.Decision:
@@ -54,9 +56,13 @@
             self.leave()
             return PLACE
         forwarder, admitted, now = self._stream.forwarder, self._stream.admitted, clock.now()
+        ready = [
+            each
+            for each in forwarder.ready_targets(admitted)
+            if each.target_id not in self._stream.excluded_ids
+        ]
         if self.candidate is None:
-            self.candidate = self._make_candidate()
-        ready = forwarder.ready_targets(admitted)
+            self.candidate = self._make_candidate(ready)
         decision = self._queue().decide(
             self.candidate,
             admitted.service_order,
@@ -75,6 +81,8 @@
             self._preferred_ids = frozenset(each.target_id for each in decision.targets)
         if self.candidate.waiting_since is not None:
             waited_s = now - self.candidate.waiting_since
+            self.candidate.waiting_since = None
+            self.waited_s += waited_s
             forwarder.metrics.observe("stream_wait", waited_s)
             self._log(
                 "stream_waited",
@@ -106,6 +114,18 @@
             return targets
         return [each for each in targets if each.target_id in self._preferred_ids] or targets
 
+    def spread_return(self, seconds: float) -> float:
+        """Returns the seconds after which the refused caller may return.
+
+        Args:
+            seconds: Time that applies if all requests to the service have the same priority.
+        """
+        admitted = self._stream.admitted
+        priorities = admitted.service_order.priorities
+        if len(priorities) < 2:
+            return seconds
+        return self._queue().retry_after_s(admitted.rank, priorities, seconds)
+
     def leave(self):
         """Ends the wait, also when the caller has left."""
         if self.candidate is not None:
