--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -516,6 +516,14 @@
         targets = self.target_table.ready_targets(name)
         return self.versions.eligible(name, targets, clock.now(), draw)
 
+    def observe_versions(self, now: float):
+        """Lets the versions of all services be known, also of those without requests."""
+        if self.bundle is None or not self.versions.is_active:
+            return
+        for name in self.bundle.service_by_name:
+            targets = self.target_table.ready_targets(name)
+            self.versions.eligible(name, targets, now, versions.NO_SHARE_DRAW)
+
     def copy_targets(self, admitted: AdmittedRequest) -> list:
         """Returns the ready targets that may hold the copy of a stream."""
         name = admitted.service.name
--- a/chiveswitch/forwarding/versions_test.py
+++ b/chiveswitch/forwarding/versions_test.py
@@ -56,6 +56,24 @@
     assert "version=v2" in text and "gateway: version_accepted" in text
 
 
+def test_a_service_without_requests_keeps_the_version_that_it_had(tmp_path):
+    # Failure: the first request comes after the targets of another version, for which no order is
+    # known yet, have become as many.
+    async def scenario(fixture):
+        await add(fixture, "w1", "plain", "a", "v1")
+        fixture.gateway.versions.apply_rollouts([], clock.now())
+        fixture.gateway.observe_versions(clock.now())
+        for worker_id in ("w2", "w3"):
+            new = await add(fixture, worker_id, "plain", "a", "v2")
+            fixture.gateway.observe_versions(clock.now())
+        for number in range(8):
+            await forwarder_test.call(fixture, f"r{number}")
+        assert not new.runs
+        assert evidence(fixture)["v1"].requests == 8
+
+    run(scenario, tmp_path)
+
+
 def test_unrepeatable_calls_run_once_whichever_version_gets_them(tmp_path):
     # Guards against a request that runs on both versions: only a refusal permits another attempt.
     async def scenario(fixture):
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -688,6 +688,7 @@
             self.forwarder.run_table.sweep(now)
             self.forwarder.speeds.sweep(now)
             self.forwarder.pool.close_stale_channels()
+            self.forwarder.observe_versions(now)
             gateway_count = max(1, len(self.view.ready_nodes()))
             self.forwarder.retry_budgets.gateway_count = gateway_count
             self.forwarder.quarantine.gateway_count = gateway_count
