--- a/chiveswitch/tools/node_test.py
+++ b/chiveswitch/tools/node_test.py
@@ -52,6 +52,7 @@
 directory = "{ip}:{directory}"
 [limits]
 link-mbps = {link_mbps}
+{limits}
 [fault-tolerance]
 machines = 1
 [bounds]
@@ -68,6 +69,7 @@
         environment: Additional environment variables of the nodes, by name.
         disks: Number of nodes with a disk. These are the first ones; the first three are seeds.
         uncounted: Nodes whose loss does not count towards the tolerated losses.
+        limits: Further lines of the nodes' settings on the limits of their machines.
         ips: Address of each node.
         port: Port of each listener by its name, the same on all nodes.
     """
@@ -77,6 +79,7 @@
         self.environment = environment or {}
         self.disks = disks
         self.uncounted = uncounted
+        self.limits = ""
         # All addresses in 127.0.0.0/8 belong to the loopback interface.
         self.ips = [f"127.0.1.{number + 1}" for number in range(disks + others)]
         names = ("peer", "front", "ready", "control", "directory", "metrics")
@@ -110,6 +113,7 @@
             counts=str(number not in self.uncounted).lower(),
             disk=f'data-dir = "{self.data_folder(number)}"' if has_disk else "",
             link_mbps=DISK_LINK_MBPS if has_disk else LINK_MBPS,
+            limits=self.limits,
             grace=GRACE_SECONDS,
             **ports,
         )
