Bound what callers and peers make a process hold

Cause: a node counted only the bytes of targets' incomplete answers. Open heads, bodies, queued requests, unread answers, frames of peers and the number of connections had no common bound; a head's limit counts bytes and not the objects that its lines become; requests that were sent ahead were answered without regard to whether their caller reads; asyncio accepts up to 1,024 connections before the first of them is counted. Change: core/memory_budget.py divides the memory of the machine and its descriptors among kinds of holders and decides who gives way; forwarding/intake.py enforces it for all HTTP servers of a process, links.Server for peers, and targets' answers count in the same budget. Large requests wait for room, the oldest first; stalled ones make room for them; small ones have a share of their own. Refusals are 503 with Retry-After for requests that were not begun (MEMORY_SHORT, 3013, in the log). Idle connections give way to new ones. An announced body over the limit is refused before it is read.

--- a/chiveswitch/core/codes.py
+++ b/chiveswitch/core/codes.py
@@ -46,6 +46,7 @@
     PROMPT_QUARANTINED = 3010
     TARGETS_LIMITED = 3011
     TARGETS_PAUSED = 3012
+    MEMORY_SHORT = 3013
     MAY_HAVE_RUN = 4001
     IN_PROGRESS = 4002
     OWNERSHIP_LOST = 4003
@@ -116,6 +117,7 @@
     Code.PROMPT_QUARANTINED: Meaning(RunStatus.NOT_RUN, RetryAdvice.LATER, 503),
     Code.TARGETS_LIMITED: Meaning(RunStatus.NOT_RUN, RetryAdvice.LATER, 503),
     Code.TARGETS_PAUSED: Meaning(RunStatus.NOT_RUN, RetryAdvice.LATER, 503),
+    Code.MEMORY_SHORT: Meaning(RunStatus.NOT_RUN, RetryAdvice.LATER, 503),
     Code.MAY_HAVE_RUN: Meaning(RunStatus.UNKNOWN, RetryAdvice.SAME_KEY, 504),
     Code.IN_PROGRESS: Meaning(RunStatus.UNKNOWN, RetryAdvice.SAME_KEY, 409),
     Code.OWNERSHIP_LOST: Meaning(RunStatus.UNKNOWN, RetryAdvice.OTHER_ADDRESS, 409),
--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -10,7 +10,9 @@
 
 import httptools
 
-from chiveswitch.core import clock, routing
+from chiveswitch.core import clock, memory_budget, routing
+from chiveswitch.forwarding import intake as intakes
+from chiveswitch.peers import listening
 
 log = logging.getLogger("chiveswitch.http")
 
@@ -55,7 +57,12 @@
 CLOSING_RETRY_AFTER_SECONDS = 0.05
 # Interval in seconds between checks for idle and slow connections.
 EXPIRY_CHECK_SECONDS = 0.5
-BACKLOG = 1024
+# Bytes that are read from a connection at a time, and largest part of them that is parsed before
+# the requests in it are counted.
+READ_BYTES = 64 * 1024
+PARSE_BYTES = 16 * 1024
+# Bytes after the last response of a connection that are discarded.
+MAX_DISCARDED_BYTES = 256 * 1024
 # States of a connection: no request, a request partly read, a request in progress or queued, a
 # response that is complete but not sent yet, and a wait for the caller to close it.
 CONNECTION_STATES = ("idle", "reading", "serving", "sending", "ending")
@@ -72,6 +79,7 @@
         body: The whole body.
         received_at: Time at which its first byte was parsed, in seconds of `core.clock`.
         keep_alive: Whether the connection may stay open after the response.
+        head_bytes: Memory of the head, as the objects that it became.
     """
 
     __slots__ = (
@@ -82,6 +90,7 @@
         "body",
         "received_at",
         "keep_alive",
+        "head_bytes",
     )
 
     def __init__(self, received_at: float):
@@ -92,6 +101,7 @@
         self.body = bytearray()
         self.received_at = received_at
         self.keep_alive = True
+        self.head_bytes = memory_budget.REQUEST_BYTES
 
     @property
     def path(self) -> str:
@@ -220,6 +230,11 @@
 
     def __init__(self, server):
         self.server = server
+        budget = server.intake.budget
+        # Accounts of what the caller has sent and of what it has not taken.
+        self.input = budget.open_account(server.request_kind)
+        self.output = budget.open_account(memory_budget.Kind.ANSWERS)
+        self.served_count = 0
         self.writable = asyncio.Event()
         self.writable.set()
         self._transport = None
@@ -231,6 +246,14 @@
         self._progress_at = 0.0
         self._bytes_since_progress = 0
         self._queued_requests = []
+        self._queued_bytes = 0
+        # Bytes of the request in progress, and received ones that are not parsed yet because enough
+        # requests are queued.
+        self._serving_bytes = 0
+        self._unparsed = b""
+        # Whether reading is paused until there is room in the budget.
+        self._is_held = False
+        self._discarded_bytes = 0
         self._task = None
         # Whether the present request's caller waits for an interim response before it sends the
         # body.
@@ -251,14 +274,43 @@
     def connection_made(self, transport):
         """Registers the new connection with the server."""
         self._transport = transport
+        transport.max_size = READ_BYTES
         transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         self.server.connections.add(self)
+        self.server.intake.limit_connections(self.server)
 
     def data_received(self, data):
         """Feeds the parser. A malformed request is refused after earlier requests are answered."""
         self._last_active_at = clock.now()
         if self._refusal_status is not None or self._ended_at is not None:
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                self._transport.pause_reading()
             return
+        if self._unparsed:
+            self._unparsed += data
+        else:
+            self._parse(data)
+        # Counted first, so that a request can be refused before it is begun.
+        self._update_input()
+        self._start_next_request()
+
+    def _parse(self, data):
+        """Parses received bytes, until enough requests are queued."""
+        if len(data) <= PARSE_BYTES:
+            self._parse_part(data)
+        else:
+            for start in range(0, len(data), PARSE_BYTES):
+                if len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
+                    self._unparsed = data[start:]
+                    break
+                self._parse_part(data[start : start + PARSE_BYTES])
+                if self._refusal_status is not None:
+                    break
+        if len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
+            self._transport.pause_reading()
+
+    def _parse_part(self, data):
         if self._request is None and not self._queued_requests and self._task is None:
             # The data begins a new request, whose head is counted from zero.
             self._header_bytes = 0
@@ -277,9 +329,22 @@
         # Chunk extensions and trailers are limited as well as the head.
         if self._request is not None and self._header_bytes > self.server.limits().header_bytes:
             self._record_refusal(431)
-        if len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
-        self._start_next_request()
+
+    def _update_input(self):
+        """Counts what the caller has sent, and makes room if it is too much."""
+        held_bytes = self._serving_bytes + self._queued_bytes + len(self._unparsed)
+        request = self._request
+        if request is not None:
+            held_bytes += request.head_bytes + len(request.body)
+        if self._is_held:
+            held_bytes += intakes.RECEIVE_BUFFER_BYTES
+        account = self.input
+        if account.kind == memory_budget.Kind.OTHER_REQUESTS:
+            account.update(held_bytes)
+        else:
+            account.update_request(held_bytes)
+        if held_bytes and account.is_over:
+            self.server.intake.relieve_requests(self)
 
     def eof_received(self):
         """Closes the connection, because a caller that ends its side counts as disconnected."""
@@ -290,6 +355,9 @@
         self._closed = True
         self.writable.set()
         self.server.connections.discard(self)
+        self.server.intake.forget(self)
+        self.input.update(0)
+        self.output.update(0)
         if self._task is not None:
             self._task.cancel()
 
@@ -300,6 +368,9 @@
     def resume_writing(self):
         """Lets writers continue, because the write buffer was drained."""
         self.writable.set()
+        self.output.update(self.unsent_bytes)
+        # The next request of the connection may have waited for the caller to read.
+        self._start_next_request()
 
     # Callbacks of the HTTP parser.
 
@@ -319,14 +390,16 @@
             return
         text = name.decode("latin-1")
         content = value.decode("latin-1")
-        self._request.headers.append((text, content))
-        self._request.value_by_header.setdefault(text.lower(), content)
+        request = self._request
+        request.headers.append((text, content))
+        request.value_by_header.setdefault(text.lower(), content)
+        request.head_bytes += memory_budget.FIELD_BYTES + len(text) + len(content)
 
     def on_headers_complete(self):
         """Sets the method and checks the head's size.
 
         Raises:
-            ValueError: The head is too large.
+            ValueError: The head or the announced body is too large.
         """
         request = self._request
         request.method = self._parser.get_method().decode("latin-1")
@@ -335,6 +408,10 @@
         if size + len(request.request_target) > self.server.limits().header_bytes:
             self._refusal_status = 431
             raise ValueError("the head is too large")
+        length = request.value_by_header.get("content-length", "")
+        if length.isdigit() and int(length) > self.server.max_body_bytes(request):
+            self._refusal_status = 413
+            raise ValueError("the announced body is too large")
         self._is_continue_due = request.value_by_header.get("expect", "").lower() == "100-continue"
 
     def on_body(self, body):
@@ -359,6 +436,8 @@
         """Queues the request."""
         self._is_continue_due = False
         self._queued_requests.append(self._request)
+        # Requests for targets are copied when they are encoded.
+        self._queued_bytes += self._request.head_bytes + 2 * len(self._request.body)
         self._request = None
         self._header_bytes = 0
 
@@ -368,8 +447,13 @@
     def _start_next_request(self):
         if self._task is not None or self._closed or self._ended_at is not None:
             return
+        if not self.writable.is_set():
+            # Answers would pile up for a caller that does not read them.
+            return
         if self._queued_requests:
             request = self._queued_requests.pop(0)
+            self._serving_bytes = request.head_bytes + 2 * len(request.body)
+            self._queued_bytes -= self._serving_bytes
             self._task = asyncio.get_running_loop().create_task(self._serve(request))
             return
         if self._refusal_status is not None:
@@ -398,15 +482,25 @@
                 responder.send(500, [])
         finally:
             self._task = None
+            self._serving_bytes = 0
+        self.served_count += 1
         self._last_active_at = clock.now()
         if not responder.is_complete:
             responder.abort()
         if self._closed or self._ended_at is not None or self._transport.is_closing():
             return
-        if len(self._queued_requests) < MAX_PIPELINED_REQUESTS:
-            self._transport.resume_reading()
+        if self._unparsed and not self._queued_requests and self._refusal_status is None:
+            data, self._unparsed = self._unparsed, b""
+            self._parse(data)
+        self._resume_reading()
+        self._update_input()
         self._start_next_request()
 
+    def _resume_reading(self):
+        is_full = self._unparsed or len(self._queued_requests) >= MAX_PIPELINED_REQUESTS
+        if not is_full and not self._is_held:
+            self._transport.resume_reading()
+
     # Methods for responders and the server.
 
     def write(self, data: bytes):
@@ -414,6 +508,11 @@
         if self._ended_at is None and not self._transport.is_closing():
             self._written_bytes += len(data)
             self._transport.write(data)
+            unsent_bytes = self._transport.get_write_buffer_size()
+            if unsent_bytes or self.output.held_bytes:
+                self.output.update(unsent_bytes)
+                if self.output.is_over:
+                    self.server.intake.relieve_answers()
 
     def close(self):
         """Ends the connection after all written bytes are sent.
@@ -426,6 +525,11 @@
         self._ended_at = clock.now()
         self._request = None
         self._queued_requests.clear()
+        self._queued_bytes = 0
+        self._unparsed = b""
+        self._is_held = False
+        self.server.intake.forget(self)
+        self._update_input()
         try:
             self._transport.write_eof()
         except OSError:
@@ -446,6 +550,74 @@
         """Closes the connection immediately and discards unsent bytes."""
         self._transport.abort()
 
+    # Methods for the intake.
+
+    @property
+    def can_wait(self) -> bool:
+        """Whether only reading adds to what the connection holds."""
+        return self._request is not None and self._task is None and not self._queued_requests
+
+    @property
+    def peer_name(self):
+        """Address of the caller."""
+        return self._transport.get_extra_info("peername")
+
+    @property
+    def input_bytes(self) -> int:
+        """Bytes that are counted for what the caller has sent."""
+        return self.input.held_bytes
+
+    def hold_reading(self):
+        """Pauses reading until there is room."""
+        self._is_held = True
+        self._transport.pause_reading()
+        self._update_input()
+
+    def release_reading(self):
+        """Reads again after `hold_reading`."""
+        self._is_held = False
+        self._progress_at = clock.now()
+        self._bytes_since_progress = 0
+        self._resume_reading()
+        self._update_input()
+
+    def claim(self, account, now: float, waiting_s: float | None):
+        """Returns a `memory_budget.Claim` of an account, or None if it cannot give way."""
+        if self._ended_at is not None or self._transport.is_closing():
+            return None
+        if account is self.output:
+            return memory_budget.Claim(self, account.held_bytes, now - self._taken_at)
+        if self._request is None and not self._queued_requests and not self._unparsed:
+            return None
+        stalled_s = now - self._progress_at
+        age_s = now - self.began_at
+        return memory_budget.Claim(self, account.held_bytes, stalled_s, age_s, waiting_s)
+
+    @property
+    def began_at(self) -> float:
+        """Time at which the request that is being read began, in seconds of `core.clock`."""
+        return self._progress_at if self._request is None else self._request.received_at
+
+    def refuse_for_memory(self):
+        """Refuses a request that has not begun, with everything that was read of the connection."""
+        if self._ended_at is not None or self._transport.is_closing():
+            return
+        if self._task is not None or self.unsent_bytes:
+            self._transport.abort()
+            return
+        Responder(self, False).send(503, [("Retry-After", str(intakes.RETRY_AFTER_SECONDS))])
+
+    def evict(self):
+        """Closes the connection, whose caller cannot tell whether a request of it ran."""
+        self.server.connections.discard(self)
+        self._transport.abort()
+
+    def idle_claim(self) -> memory_budget.IdleClaim:
+        """Returns what the connection does at present."""
+        is_serving = self.state in ("serving", "sending")
+        active_at = self._progress_at if self._request is not None else self._last_active_at
+        return memory_budget.IdleClaim(self, is_serving, self.served_count, active_at)
+
     @property
     def unsent_bytes(self) -> int:
         """Number of written bytes that the system has not taken yet."""
@@ -495,6 +667,7 @@
         taken_bytes = self._written_bytes - unsent_bytes
         if taken_bytes > self._taken_bytes or not unsent_bytes:
             self._taken_bytes, self._taken_at = taken_bytes, now
+        self.output.update(unsent_bytes)
         if self._task is None and now - self._taken_at > limits.idle_timeout_s:
             self._transport.abort()
             return
@@ -507,7 +680,11 @@
         if self._task is not None:
             return
         if self._request is not None:
-            if now - self._progress_at > limits.header_timeout_s:
+            if now - self._progress_at <= limits.header_timeout_s:
+                return
+            if self._is_held:
+                self.refuse_for_memory()
+            else:
                 Responder(self, False).send(408, [])
             return
         if now - self._last_active_at > limits.idle_timeout_s:
@@ -523,6 +700,9 @@
         max_body_bytes: Function (request head) that returns the largest size of the request's body.
         connections: Set of open connections.
         is_draining: Whether each connection is closed after its present response.
+        intake: `intake.Intake`, which bounds what the connections hold.
+        max_connections: Largest number of connections, 0 if unlimited.
+        request_kind: `memory_budget.Kind` under which requests are counted at first.
     """
 
     __slots__ = (
@@ -531,20 +711,38 @@
         "max_body_bytes",
         "connections",
         "is_draining",
+        "intake",
+        "max_connections",
+        "request_kind",
         "_server",
         "_expiry_task",
     )
 
-    def __init__(self, handler, limits=lambda: routing.DEFAULT_LIMITS, max_body_bytes=None):
-        """Creates a server that has not started; the arguments are the attributes.
+    def __init__(
+        self,
+        handler,
+        limits=lambda: routing.DEFAULT_LIMITS,
+        max_body_bytes=None,
+        intake=None,
+        listener=memory_budget.Listener.CALLERS,
+    ):
+        """Creates a server that has not started; most arguments are the attributes.
 
-        Without `max_body_bytes`, the limits in force bound all bodies alike.
+        Without `max_body_bytes`, the limits in force bound all bodies alike. Without `intake`, the
+        server has one of its own. `listener` is the `memory_budget.Listener` whose share of the
+        connections it gets.
         """
         self.handler = handler
         self.limits = limits
         self.max_body_bytes = max_body_bytes or (lambda request: self.limits().body_bytes)
         self.connections = set()
         self.is_draining = False
+        self.intake = intake or intakes.Intake()
+        self.intake.servers.append(self)
+        self.max_connections = self.intake.budget.max_connections(listener)
+        is_callers = listener == memory_budget.Listener.CALLERS
+        kinds = memory_budget.Kind
+        self.request_kind = kinds.SMALL_REQUESTS if is_callers else kinds.OTHER_REQUESTS
         self._server = None
         self._expiry_task = None
 
@@ -552,8 +750,9 @@
         """Starts to listen on `ip:port`. Raises OSError if the address cannot be bound."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        sock = listening.open_listener(host, int(port), self.intake.receive_bytes)
         self._server = await loop.create_server(
-            lambda: Connection(self), host, int(port), backlog=BACKLOG
+            lambda: Connection(self), sock=sock, backlog=listening.ACCEPTED_PER_TURN
         )
         self._expiry_task = loop.create_task(self._close_expired())
 
--- a/chiveswitch/peers/control_server.py
+++ b/chiveswitch/peers/control_server.py
@@ -64,6 +64,7 @@
         instruments=None,
         handler_by_kind: dict | None = None,
         on_applied=lambda: None,
+        budget=None,
     ):
         """Restores the state from an open data folder, which the server then owns and closes.
 
@@ -80,6 +81,7 @@
             instruments: `telemetry.Telemetry` for proposal spans and counters; None disables both.
             handler_by_kind: Handlers of further message kinds on the same address.
             on_applied: Called after commands or a snapshot were applied.
+            budget: `memory_budget.MemoryBudget` of the process, or None.
         """
         self.address = address
         self.leases = None
@@ -123,7 +125,8 @@
                 kinds.Kind.CONTROL_OWNER: self._serve_owner,
                 kinds.Kind.CONTROL_JOIN: self._serve_join,
                 **(handler_by_kind or {}),
-            }
+            },
+            budget,
         )
         self._tasks = set()
         self._on_applied = on_applied
--- a/chiveswitch/peers/frames.py
+++ b/chiveswitch/peers/frames.py
@@ -73,27 +73,31 @@
     return expression.Ok(envelope)
 
 
-async def read_frame(reader, on_part=lambda: None) -> expression.Result:
+async def read_frame(
+    reader, on_part=lambda size: None, max_bytes: int = MAX_FRAME_BYTES
+) -> expression.Result:
     """Reads one frame from an asyncio stream.
 
     Args:
         reader: The stream.
-        on_part: Called each time that a part of the frame has arrived and more is expected.
+        on_part: Called each time that a part of the frame has arrived and more is expected, with
+            the number of bytes so far.
+        max_bytes: Largest size of a frame.
 
     Returns:
         Ok with the envelope, LINK_CLOSED at the end of the stream or after a connection error,
-        FRAME_TOO_LARGE above `MAX_FRAME_BYTES`, or an error of `decode_envelope`.
+        FRAME_TOO_LARGE above `max_bytes`, or an error of `decode_envelope`.
     """
     try:
         size = LENGTH_PREFIX.unpack(await reader.readexactly(LENGTH_PREFIX.size))[0]
-        if size > MAX_FRAME_BYTES:
+        if size > max_bytes:
             return codes.failure(
                 codes.Code.FRAME_TOO_LARGE,
                 f"a frame of {size} bytes is too large",
             )
         data = bytearray()
         while len(data) < size:
-            on_part()
+            on_part(len(data))
             part = await reader.read(min(PART_BYTES, size - len(data)))
             if not part:
                 return codes.failure(codes.Code.LINK_CLOSED, "the stream ended within a frame")
--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -10,8 +10,8 @@
 
 import expression
 
-from chiveswitch.core import clock, codes, connection_monitor
-from chiveswitch.peers import frames, kinds
+from chiveswitch.core import clock, codes, connection_monitor, memory_budget
+from chiveswitch.peers import frames, kinds, listening
 
 log = logging.getLogger("chiveswitch.peers")
 
@@ -32,6 +32,15 @@
 # beyond that, the time is longer than usual pauses.
 IDLE_TIMEOUT_SECONDS = MAX_TRANSFER_SECONDS + 15.0
 IDLE_CHECK_SECONDS = 1.0
+# Shortest time in seconds between two log lines about connections closed for want of room.
+EVICTION_LOG_SECONDS = 1.0
+# Bytes that are read from a client ahead of the frame that is being decoded.
+READ_AHEAD_BYTES = 64 * 1024
+# Unsent bytes of replies above which no further request of a connection is read.
+MAX_UNSENT_BYTES = 1024 * 1024
+# Smallest bound of the size of a request's frame, in bytes, on a machine whose memory is stated. It
+# is above the largest document of an operator.
+MIN_MAX_FRAME_BYTES = 8 * 1024 * 1024
 
 
 def _close_in_time(writer):
@@ -64,6 +73,24 @@
     writer.transport.abort()
 
 
+class Client:
+    """What a server knows of one open connection.
+
+    Attributes:
+        account: `memory_budget.Account` of the frame that is being read.
+        heard_at: Time of the last part of a request, in seconds.
+        frame_began_at: Time at which that frame began, in seconds.
+        frame_count: Number of frames that were read whole.
+    """
+
+    __slots__ = ("account", "heard_at", "frame_began_at", "frame_count")
+
+    def __init__(self, account, now: float):
+        self.account = account
+        self.heard_at = self.frame_began_at = now
+        self.frame_count = 0
+
+
 class Server:
     """Answers requests of other processes.
 
@@ -74,12 +101,17 @@
         handler_by_kind: Handler function by message kind.
         bytes_in: Bytes received so far; 40 bytes are counted for the envelope of each frame.
         bytes_out: Bytes sent so far.
+        evicted_count: Connections that were closed for want of memory or descriptors.
     """
 
     __slots__ = (
         "handler_by_kind",
+        "evicted_count",
         "_server",
-        "_heard_at_by_writer",
+        "_client_by_writer",
+        "_budget",
+        "_max_frame_bytes",
+        "_logged_at",
         "_idle_task",
         "_handler_tasks",
         "_connection_tasks",
@@ -87,11 +119,24 @@
         "bytes_out",
     )
 
-    def __init__(self, handler_by_kind: dict):
+    def __init__(self, handler_by_kind: dict, budget: memory_budget.MemoryBudget | None = None):
+        """Creates a server that has not started.
+
+        Args:
+            handler_by_kind: Handler function by message kind.
+            budget: Budget of the process; None bounds neither memory nor connections.
+        """
         self.handler_by_kind = handler_by_kind
+        self.evicted_count = 0
         self._server = None
-        # Time of the last part of a request on each open connection, in seconds.
-        self._heard_at_by_writer = {}
+        # `Client` of each open connection.
+        self._client_by_writer = {}
+        self._budget = budget or memory_budget.MemoryBudget()
+        self._max_frame_bytes = frames.MAX_FRAME_BYTES
+        if budget is not None:
+            limit_bytes = budget.limit_by_kind[memory_budget.Kind.FRAMES]
+            self._max_frame_bytes = max(MIN_MAX_FRAME_BYTES, limit_bytes)
+        self._logged_at = -math.inf
         self._idle_task = None
         self._handler_tasks = set()
         self._connection_tasks = set()
@@ -104,7 +149,13 @@
         Raises:
             OSError: The address cannot be bound.
         """
-        self._server = await asyncio.start_server(self._serve_connection, host, port, limit=1 << 20)
+        sock = listening.open_listener(host, port)
+        self._server = await asyncio.start_server(
+            self._serve_connection,
+            sock=sock,
+            limit=READ_AHEAD_BYTES,
+            backlog=listening.ACCEPTED_PER_TURN,
+        )
         self._idle_task = asyncio.ensure_future(self._close_idle_connections())
 
     async def close(self):
@@ -113,13 +164,13 @@
         self._server.close()
         for task in list(self._handler_tasks):
             task.cancel()
-        for writer in list(self._heard_at_by_writer):
+        for writer in list(self._client_by_writer):
             writer.close()
         # asyncio logs an error for each task that is still pending when the event loop ends.
         if not self._connection_tasks:
             return
         _, pending = await asyncio.wait(self._connection_tasks, timeout=CLOSE_TIMEOUT_SECONDS)
-        for writer in list(self._heard_at_by_writer):
+        for writer in list(self._client_by_writer):
             writer.transport.abort()
         if pending:
             await asyncio.wait(pending, timeout=CLOSE_TIMEOUT_SECONDS)
@@ -136,25 +187,76 @@
             if is_late and not was_late:
                 # After a pause of this process, requests may have arrived that are not read yet.
                 continue
-            for writer, heard_at in list(self._heard_at_by_writer.items()):
-                if now - heard_at <= IDLE_TIMEOUT_SECONDS:
+            for writer, client in list(self._client_by_writer.items()):
+                if now - client.heard_at <= IDLE_TIMEOUT_SECONDS:
                     continue
                 log.info(
                     "peers: closed a connection of %s on which nothing arrived for %.1f s",
                     writer.get_extra_info("peername"),
-                    now - heard_at,
+                    now - client.heard_at,
                 )
                 writer.transport.abort()
 
+    def _evict(self, writers, reason):
+        """Closes connections, and logs some of them."""
+        for writer in writers:
+            self._client_by_writer.pop(writer).account.update(0)
+            writer.transport.abort()
+            self.evicted_count += 1
+            now = clock.now()
+            if now - self._logged_at >= EVICTION_LOG_SECONDS:
+                self._logged_at = now
+                log.info(
+                    "peers: closed a connection of %s: %s, code=%d, %d so far",
+                    writer.get_extra_info("peername"),
+                    reason,
+                    codes.Code.MEMORY_SHORT,
+                    self.evicted_count,
+                )
+
+    def _limit_connections(self):
+        limit = self._budget.max_connections(memory_budget.Listener.PEERS)
+        if not limit or len(self._client_by_writer) <= limit:
+            return
+        claims = [
+            memory_budget.IdleClaim(writer, False, client.frame_count, client.heard_at)
+            for writer, client in self._client_by_writer.items()
+        ]
+        self._evict(memory_budget.choose_closed(claims, limit), "descriptors")
+
+    def _limit_frames(self, account):
+        """Closes the connections whose incomplete frames have held most for longest."""
+        if not account.is_over or account.is_alone:
+            return
+        now = clock.now()
+        claims = [
+            memory_budget.Claim(writer, client.account.held_bytes, now - client.frame_began_at)
+            for writer, client in self._client_by_writer.items()
+            if client.account.held_bytes
+        ]
+        excess_bytes = self._budget.excess_bytes(memory_budget.Kind.FRAMES)
+        self._evict(memory_budget.choose_evicted(claims, excess_bytes), "memory")
+
     async def _serve_connection(self, reader, writer):
-        def record_part():
-            self._heard_at_by_writer[writer] = clock.now()
+        client = Client(self._budget.open_account(memory_budget.Kind.FRAMES), clock.now())
+        self._client_by_writer[writer] = client
+
+        def record_part(size=0):
+            client.heard_at = clock.now()
+            if not size:
+                client.frame_began_at = client.heard_at
+            if size or client.account.held_bytes:
+                client.account.update(size)
+                self._limit_frames(client.account)
 
-        record_part()
         self._connection_tasks.add(asyncio.current_task())
+        self._limit_connections()
         try:
             while True:
-                result = await frames.read_frame(reader, record_part)
+                if writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+                    await writer.drain()
+                result = await frames.read_frame(reader, record_part, self._max_frame_bytes)
+                client.frame_count += 1
                 record_part()
                 if result.is_error():
                     if result.error.code != codes.Code.LINK_CLOSED:
@@ -188,7 +290,8 @@
                 self._handler_tasks.add(task)
                 task.add_done_callback(self._handler_tasks.discard)
         finally:
-            self._heard_at_by_writer.pop(writer, None)
+            client.account.update(0)
+            self._client_by_writer.pop(writer, None)
             self._connection_tasks.discard(asyncio.current_task())
             _close_in_time(writer)
 
@@ -451,7 +554,7 @@
                 async with asyncio.timeout(max(0.0, self._monitor.next_check_at - self._now())):
                     await self._wake.wait()
 
-    def _record_part(self):
+    def _record_part(self, _size):
         self.is_receiving = True
         self._monitor.record_data(self._now())
 
--- a/chiveswitch/peers/links_test.py
+++ b/chiveswitch/peers/links_test.py
@@ -243,11 +243,11 @@
         await link.close()
         host, _, port = link.address.rpartition(":")
         _, writer = await asyncio.open_connection(host, int(port))
-        await platform_standins.wait_until(lambda: len(server._heard_at_by_writer) == 1)
+        await platform_standins.wait_until(lambda: len(server._client_by_writer) == 1)
         for _ in range(12):
             keep_busy(2.5 * links.IDLE_CHECK_SECONDS)
             await asyncio.sleep(0.001)
-        open_count = len(server._heard_at_by_writer)
+        open_count = len(server._client_by_writer)
         writer.transport.abort()
         await server.close()
         return open_count
--- a/chiveswitch/platform/headers.py
+++ b/chiveswitch/platform/headers.py
@@ -215,7 +215,7 @@
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"Content-Length: {len(request.body)}\r\n")
         lines.append("\r\n")
-        return "".join(lines).encode("latin-1") + bytes(request.body)
+        return b"".join(("".join(lines).encode("latin-1"), request.body))
 
     def copy_reference(self, address: str, run_id: str) -> str:
         """Returns the reference of a backup: the holder's address and the request's id."""
--- a/chiveswitch/tools/node.py
+++ b/chiveswitch/tools/node.py
@@ -23,13 +23,14 @@
     consensus_messages,
     control_state,
     decision_log,
+    memory_budget,
     metrics,
     placement,
     prompt_quarantine,
     routing,
     target_table,
 )
-from chiveswitch.forwarding import calls, forwarder, http_server, pauses, streams
+from chiveswitch.forwarding import calls, forwarder, http_server, intake, pauses, streams
 from chiveswitch.peers import (
     control_client,
     control_server,
@@ -132,6 +133,8 @@
         settings: `node_settings.NodeSettings`.
         log: `decision_log.DecisionLog`.
         metrics: `metrics.Metrics`.
+        budget: `memory_budget.MemoryBudget` of the process.
+        intake: `intake.Intake` of all its HTTP servers.
         table: `target_table.TargetTable` with the targets that hubs have reported.
         forwarder: `forwarder.Forwarder`, which handles the callers' requests.
         view: `node_view.NodeView`.
@@ -146,6 +149,8 @@
         "settings",
         "log",
         "metrics",
+        "budget",
+        "intake",
         "table",
         "forwarder",
         "view",
@@ -193,6 +198,8 @@
         self.forwarder = forwarder.Forwarder(
             dialect, self.table, self.log, self.metrics, settings, self._report_run
         )
+        self.budget = memory_budget.MemoryBudget(settings.memory_bytes, settings.max_descriptors)
+        self.forwarder.pool.pacer.budget = self.budget
         # From the time of day, so that incarnations of one name also rise after a disk is lost.
         self._incarnation = time.time_ns() // 1000
         self._signer = routing.Signer(settings.operator_secret)
@@ -229,7 +236,11 @@
         self.client = control_client.ControlClient(settings.seeds)
         self._listeners = listeners
         self._api_servers = []
-        self._caller_server = http_server.Server(self.forwarder.handle, self.forwarder.limits)
+        receive_bytes = intake.RECEIVE_BUFFER_BYTES if settings.memory_bytes else 0
+        self.intake = intake.Intake(self.budget, self.metrics.count, receive_bytes)
+        self._caller_server = http_server.Server(
+            self.forwarder.handle, self.forwarder.limits, intake=self.intake
+        )
         self._peer_server = None
         self._tasks = []
         self._stop_future = None
@@ -272,7 +283,10 @@
                 return opened.error
             for listener in self._listeners:
                 server = http_server.Server(
-                    self._api_handler(listener), max_body_bytes=listener.max_body_bytes
+                    self._api_handler(listener),
+                    max_body_bytes=listener.max_body_bytes,
+                    intake=self.intake,
+                    listener=memory_budget.Listener.OTHERS,
                 )
                 self._api_servers.append(server)
                 await server.start(listener.address)
@@ -400,7 +414,7 @@
         }
         host, _, port = settings.peer_address.rpartition(":")
         if not settings.data_folder:
-            self._peer_server = links.Server(handler_by_kind)
+            self._peer_server = links.Server(handler_by_kind, self.budget)
             await self._peer_server.start(host, int(port))
             return expression.Ok(None)
         opened = await open_folder_with_room(settings, self._stop_future, self.log)
@@ -412,6 +426,7 @@
             handler_by_kind=handler_by_kind,
             settings=consensus.Settings(tolerated_losses=settings.losses),
             on_applied=self._apply_control_state,
+            budget=self.budget,
         )
         self.leave_store = leave_store.LeaveStore(self.hub, files.Files(), settings.data_folder)
         self.leave_store.restore()
@@ -426,8 +441,12 @@
         gauges["targets_draining"] = self.table.count_draining
         gauges["targets_paused"] = lambda: pauses.count_paused(self.table)
         gauges["channels_opened"] = lambda: self.forwarder.pool.opened_count
-        budget = self.forwarder.pool.pacer.budget
-        gauges["response_bytes_held"] = lambda: budget.held_bytes
+        gauges["response_bytes_held"] = lambda: self.budget.held_bytes
+        for kind in memory_budget.Kind:
+            gauges[f"held_bytes_{kind.name.lower()}"] = functools.partial(self._held_bytes, kind)
+        gauges["connections_open"] = lambda: sum(
+            len(server.connections) for server in self.intake.servers
+        )
         gauges["requests_open"] = self._caller_server.busy_count
         for state in http_server.CONNECTION_STATES:
             gauges[f"connections_{state}"] = functools.partial(self._count_connections, state)
@@ -444,6 +463,9 @@
         self.metrics.target_gauge_by_name["target_limit_use"] = limiter.use_by_target
         gauges["stream_moves_false"] = lambda: self.forwarder.detector.false_moves
 
+    def _held_bytes(self, kind):
+        return self.budget.held_by_kind[kind]
+
     def _count_connections(self, state):
         return self._caller_server.count_by_state()[state]
 
