Charge paused connections, and count requests with less work

Cause: connections that are paused because enough requests are queued hold what the system has received for them, which was not counted. Waiting connections that were evicted while another one resumed raised KeyError. Change: such connections are charged a receive buffer. A head is counted once when it is complete; parts of an announced body are parsed whole. The crowd's clients share the memory of what they send; what they send is as before.

--- a/chiveswitch/core/memory_budget.py
+++ b/chiveswitch/core/memory_budget.py
@@ -52,6 +52,10 @@
     FRAMES = 5
 
 
+# Members of an enumeration are looked up slowly.
+_SMALL_REQUESTS = Kind.SMALL_REQUESTS
+_LARGE_REQUESTS = Kind.LARGE_REQUESTS
+
 SHARE_BY_KIND = {
     Kind.SMALL_REQUESTS: 3 / 16,
     Kind.LARGE_REQUESTS: 4 / 16,
@@ -161,11 +165,12 @@
 
     def update_request(self, held_bytes: int):
         """Counts a caller's request as a small or large one, by its cost."""
-        kind = Kind.SMALL_REQUESTS if held_bytes <= SMALL_REQUEST_BYTES else Kind.LARGE_REQUESTS
-        if kind != self.kind:
+        kind = _SMALL_REQUESTS if held_bytes <= SMALL_REQUEST_BYTES else _LARGE_REQUESTS
+        if kind is not self.kind:
             self.update(0)
             self.kind = kind
-        self.update(held_bytes)
+        self.budget.held_by_kind[kind] += held_bytes - self.held_bytes
+        self.held_bytes = held_bytes
 
     @property
     def is_over(self) -> bool:
--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -79,7 +79,7 @@
         body: The whole body.
         received_at: Time at which its first byte was parsed, in seconds of `core.clock`.
         keep_alive: Whether the connection may stay open after the response.
-        head_bytes: Memory of the head, as the objects that it became.
+        head_bytes: Memory of the complete head, as the objects that it became.
     """
 
     __slots__ = (
@@ -232,8 +232,11 @@
         self.server = server
         budget = server.intake.budget
         # Accounts of what the caller has sent and of what it has not taken.
-        self.input = budget.open_account(server.request_kind)
-        self.output = budget.open_account(memory_budget.Kind.ANSWERS)
+        kinds = memory_budget.Kind
+        self.input = budget.open_account(
+            kinds.SMALL_REQUESTS if server.serves_callers else kinds.OTHER_REQUESTS
+        )
+        self.output = budget.open_account(kinds.ANSWERS)
         self.served_count = 0
         self.writable = asyncio.Event()
         self.writable.set()
@@ -242,6 +245,8 @@
         self._request = None
         self._header_bytes = 0
         self._body_bytes = 0
+        # Announced bytes of the present body that have not arrived.
+        self._body_left_bytes = 0
         # Time at which the present request began or its body last made progress.
         self._progress_at = 0.0
         self._bytes_since_progress = 0
@@ -297,7 +302,8 @@
 
     def _parse(self, data):
         """Parses received bytes, until enough requests are queued."""
-        if len(data) <= PARSE_BYTES:
+        # What is part of a body contains no further requests.
+        if len(data) <= max(PARSE_BYTES, self._body_left_bytes):
             self._parse_part(data)
         else:
             for start in range(0, len(data), PARSE_BYTES):
@@ -307,7 +313,7 @@
                 self._parse_part(data[start : start + PARSE_BYTES])
                 if self._refusal_status is not None:
                     break
-        if len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
+        if self._is_full:
             self._transport.pause_reading()
 
     def _parse_part(self, data):
@@ -336,14 +342,18 @@
         request = self._request
         if request is not None:
             held_bytes += request.head_bytes + len(request.body)
-        if self._is_held:
+            if not request.method:
+                fields_bytes = memory_budget.FIELD_BYTES * len(request.headers)
+                held_bytes += fields_bytes + self._header_bytes
+        if self._is_held or len(self._queued_requests) >= MAX_PIPELINED_REQUESTS:
+            # What arrives while reading is paused stays in the system.
             held_bytes += intakes.RECEIVE_BUFFER_BYTES
         account = self.input
-        if account.kind == memory_budget.Kind.OTHER_REQUESTS:
-            account.update(held_bytes)
-        else:
+        if self.server.serves_callers:
             account.update_request(held_bytes)
-        if held_bytes and account.is_over:
+        else:
+            account.update(held_bytes)
+        if account.is_over and held_bytes:
             self.server.intake.relieve_requests(self)
 
     def eof_received(self):
@@ -390,10 +400,8 @@
             return
         text = name.decode("latin-1")
         content = value.decode("latin-1")
-        request = self._request
-        request.headers.append((text, content))
-        request.value_by_header.setdefault(text.lower(), content)
-        request.head_bytes += memory_budget.FIELD_BYTES + len(text) + len(content)
+        self._request.headers.append((text, content))
+        self._request.value_by_header.setdefault(text.lower(), content)
 
     def on_headers_complete(self):
         """Sets the method and checks the head's size.
@@ -408,8 +416,10 @@
         if size + len(request.request_target) > self.server.limits().header_bytes:
             self._refusal_status = 431
             raise ValueError("the head is too large")
+        request.head_bytes += memory_budget.FIELD_BYTES * len(request.headers) + size
         length = request.value_by_header.get("content-length", "")
-        if length.isdigit() and int(length) > self.server.max_body_bytes(request):
+        self._body_left_bytes = int(length) if length.isdigit() else 0
+        if self._body_left_bytes > self.server.max_body_bytes(request):
             self._refusal_status = 413
             raise ValueError("the announced body is too large")
         self._is_continue_due = request.value_by_header.get("expect", "").lower() == "100-continue"
@@ -423,6 +433,7 @@
         request = self._request
         self._is_continue_due = False
         self._body_bytes += len(body)
+        self._body_left_bytes -= len(body)
         self._bytes_since_progress += len(body)
         if self._bytes_since_progress >= MIN_BODY_PROGRESS_BYTES:
             self._bytes_since_progress = 0
@@ -493,14 +504,21 @@
             data, self._unparsed = self._unparsed, b""
             self._parse(data)
         self._resume_reading()
-        self._update_input()
+        if self._queued_requests or self._request is not None:
+            self._update_input()
+        else:
+            self.input.update(0)
         self._start_next_request()
 
     def _resume_reading(self):
-        is_full = self._unparsed or len(self._queued_requests) >= MAX_PIPELINED_REQUESTS
-        if not is_full and not self._is_held:
+        if not self._is_full and not self._is_held:
             self._transport.resume_reading()
 
+    @property
+    def _is_full(self):
+        """Whether so many requests are queued that no more are read."""
+        return bool(self._unparsed) or len(self._queued_requests) >= MAX_PIPELINED_REQUESTS
+
     # Methods for responders and the server.
 
     def write(self, data: bytes):
@@ -702,7 +720,7 @@
         is_draining: Whether each connection is closed after its present response.
         intake: `intake.Intake`, which bounds what the connections hold.
         max_connections: Largest number of connections, 0 if unlimited.
-        request_kind: `memory_budget.Kind` under which requests are counted at first.
+        serves_callers: Whether its requests count as those of callers.
     """
 
     __slots__ = (
@@ -713,7 +731,7 @@
         "is_draining",
         "intake",
         "max_connections",
-        "request_kind",
+        "serves_callers",
         "_server",
         "_expiry_task",
     )
@@ -740,9 +758,7 @@
         self.intake = intake or intakes.Intake()
         self.intake.servers.append(self)
         self.max_connections = self.intake.budget.max_connections(listener)
-        is_callers = listener == memory_budget.Listener.CALLERS
-        kinds = memory_budget.Kind
-        self.request_kind = kinds.SMALL_REQUESTS if is_callers else kinds.OTHER_REQUESTS
+        self.serves_callers = listener == memory_budget.Listener.CALLERS
         self._server = None
         self._expiry_task = None
 
--- a/chiveswitch/forwarding/intake.py
+++ b/chiveswitch/forwarding/intake.py
@@ -184,7 +184,8 @@
         """
         room_bytes = self.budget.limit_by_kind[kind] - self.budget.held_by_kind[kind]
         for connection in sorted(self._waiting_since, key=lambda c: c.began_at):
-            if connection.input.kind != kind:
+            if connection.input.kind != kind or connection not in self._waiting_since:
+                # A connection that was read from may have made others give way.
                 continue
             if room_bytes <= 0 and not connection.input.is_alone:
                 return
--- a/features/hostile_callers_test.py
+++ b/features/hostile_callers_test.py
@@ -51,6 +51,8 @@
     b"POST /w/x HTTP/1.1\r\nHost: svc.example\r\nAuthorization: Bearer key-1\r\n"
     b"X-Request-Id: h%d\r\nX-Deadline-Ms: 20000\r\n"
 )
+BLOCK = b"x" * 65_536
+TINY_CHUNKS = b"10\r\n0123456789abcdef\r\n" * 4096
 FRAME_PREFIX = struct.Struct("!I")
 
 # Coroutine function (writer, number of the client) by name of the form.
@@ -80,6 +82,13 @@
         await writer.drain()
 
 
+async def write_body(writer, size, block=BLOCK):
+    """Writes bytes of a body, of which the clients share the memory."""
+    while size > 0:
+        await write_all(writer, block[:size])
+        size -= len(block)
+
+
 @form
 async def heads_of_short_lines_without_end(writer, number):
     head = CALL % number
@@ -100,8 +109,8 @@
 
 @form
 async def whole_bodies_one_byte_short(writer, number):
-    head = CALL % number + b"Content-Length: %d\r\n\r\n" % BODY_BYTES
-    await write_all(writer, head + b"x" * (BODY_BYTES - 1))
+    writer.write(CALL % number + b"Content-Length: %d\r\n\r\n" % BODY_BYTES)
+    await write_body(writer, BODY_BYTES - 1)
 
 
 @form
@@ -117,27 +126,29 @@
 async def chunked_bodies_without_end(writer, number):
     writer.write(CALL % number + b"Transfer-Encoding: chunked\r\n\r\n")
     size = BODY_BYTES - 1
-    await write_all(writer, b"%x\r\n%b\r\n" % (size, b"x" * size))
+    writer.write(b"%x\r\n" % size)
+    await write_body(writer, size)
+    writer.write(b"\r\n")
 
 
 @form
 async def bodies_of_tiny_chunks(writer, number):
     writer.write(CALL % number + b"Transfer-Encoding: chunked\r\n\r\n")
-    await write_all(writer, b"10\r\n0123456789abcdef\r\n" * (BODY_BYTES // 16 - 1))
+    await write_body(writer, (BODY_BYTES // 16 - 1) * 22, TINY_CHUNKS)
 
 
 @form
 async def bodies_announced_over_the_limit(writer, number):
     size = 8 * BODY_BYTES
     writer.write(CALL % number + b"Content-Length: %d\r\n\r\n" % size)
-    await write_all(writer, b"x" * size)
+    await write_body(writer, size)
 
 
 @form
 async def bodies_over_the_limit(writer, number):
     writer.write(CALL % number + b"Transfer-Encoding: chunked\r\n\r\n")
     for _ in range(128):
-        await write_all(writer, b"10000\r\n%b\r\n" % (b"x" * 65_536))
+        await write_all(writer, b"10000\r\n%b\r\n" % BLOCK)
 
 
 @form
@@ -147,7 +158,9 @@
 
 @form
 async def pipelined_requests(writer, number):
-    await write_all(writer, (CALL % number + b"Content-Length: 0\r\n\r\n") * 16_384)
+    requests = (CALL % number + b"Content-Length: 0\r\n\r\n") * 256
+    for _ in range(64):
+        await write_all(writer, requests)
 
 
 @form
@@ -165,13 +178,14 @@
 
 @form
 async def configs_one_byte_short(writer, _number):
-    head = b"PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % CONFIG_BYTES
-    await write_all(writer, head + b"x" * (CONFIG_BYTES - 1))
+    writer.write(b"PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % CONFIG_BYTES)
+    await write_body(writer, CONFIG_BYTES - 1)
 
 
 @form
 async def frames_one_byte_short(writer, _number):
-    await write_all(writer, FRAME_PREFIX.pack(CONFIG_BYTES) + b"x" * (CONFIG_BYTES - 1))
+    writer.write(FRAME_PREFIX.pack(CONFIG_BYTES))
+    await write_body(writer, CONFIG_BYTES - 1)
 
 
 class Gauge:
