Bound no frames in processes without a budget

Cause: a links.Server without a budget used the default limit of incomplete frames, although it promises to bound nothing; gateways without settings of their machine exchange larger ones. Change: it evicts only with a budget.

--- a/chiveswitch/peers/links.py
+++ b/chiveswitch/peers/links.py
@@ -38,8 +38,8 @@
 READ_AHEAD_BYTES = 64 * 1024
 # Unsent bytes of replies above which no further request of a connection is read.
 MAX_UNSENT_BYTES = 1024 * 1024
-# Smallest bound of the size of a request's frame, in bytes, on a machine whose memory is stated. It
-# is above the largest document of an operator.
+# Smallest bound of the size of a request's frame, in bytes, in a process with a budget. It is above
+# the largest document of an operator.
 MIN_MAX_FRAME_BYTES = 8 * 1024 * 1024
 
 
@@ -109,6 +109,7 @@
         "_server",
         "_client_by_writer",
         "_budget",
+        "_is_bounded",
         "_max_frame_bytes",
         "_logged_at",
         "_idle_task",
@@ -131,6 +132,7 @@
         # `Client` of each open connection.
         self._client_by_writer = {}
         self._budget = budget or memory_budget.MemoryBudget()
+        self._is_bounded = budget is not None
         self._max_frame_bytes = frames.MAX_FRAME_BYTES
         if budget is not None:
             limit_bytes = budget.limit_by_kind[memory_budget.Kind.FRAMES]
@@ -228,7 +230,7 @@
 
         Those whose frames still arrive are closed only if that leaves too much.
         """
-        if not account.is_over or account.is_alone:
+        if not self._is_bounded or not account.is_over or account.is_alone:
             return
         now = clock.now()
         claims = [
