Fix deadlines, verdicts and withdrawn versions that a review of roll-outs found

Cause, as the review showed: an order's start moved with control's time, which lags after an idle hour, so that a new order was withdrawn at once; a new leader could accept a version of which it had heard nothing; an order for the only version of a service could take all its targets away; a paused target of the new version drew requests that were then refused; a version that was gone for long, or the loss of one of two targets, led to its acceptance without an order; a request chosen before a withdrawal was still sent; evidence of a gateway with an earlier time of day was dropped. Change: the start is read once; acceptance needs answers that the leader has counted; the rest as above, each at its decision.

--- a/chiveswitch/core/rollouts.py
+++ b/chiveswitch/core/rollouts.py
@@ -421,6 +421,7 @@
         "_slots",
         "_sums",
         "_answers",
+        "_heard_count",
         "_watched_since",
         "_watched_total",
         "_comparable_since",
@@ -445,6 +446,8 @@
         self._sums = Slot(now)
         # Answers of the version, and of the others. A former leader has judged what it counted.
         self._answers = [order.spent, 0]
+        # Answers of the version that this judge has counted itself.
+        self._heard_count = 0
         self._watched_since = now
         self._watched_total = 0
         self._comparable_since = now
@@ -471,7 +474,9 @@
             side = 0 if is_version else 1
             for slot in (self._slots[-1], self._sums):
                 slot.add(report, side)
-            self._answers[side] += report.failures + sum(report.latencies)
+            answer_count = report.failures + sum(report.latencies)
+            self._answers[side] += answer_count
+            self._heard_count += answer_count if is_version else 0
 
     # Exposure.
 
@@ -570,7 +575,7 @@
             return None
         if is_doubtful:
             return Decision(ROLLED_BACK, 0.0, False, f"doubtful: {finding.reason}")
-        if not self._answers[0]:
+        if not self._heard_count:
             # A new leader has not heard of the version yet.
             if now < self.order.deadline:
                 return None
--- a/chiveswitch/core/rollouts_test.py
+++ b/chiveswitch/core/rollouts_test.py
@@ -274,3 +274,12 @@
     assert state(5, 1).newer_than(state(4, 9))
     assert state(5, 2).newer_than(state(5, 1))
     assert not state(5, 1).newer_than(state(5, 1))
+
+
+def test_a_new_leader_accepts_no_version_of_which_it_has_not_heard():
+    # Failure: the leader is lost while the version gets all requests, just before its acceptance.
+    order = rollouts.Order("s", "v2", 0.0, 16.0, 1.0, True, 100, 400, 15.3)
+    judge = rollouts.RolloutJudge(order, LIMITS, 15.5)
+    assert judge.decide(15.5) is None
+    judge.record([rollouts.Evidence("s", "v2", "calls", 20, 0, [20])], 15.7)
+    assert judge.decide(15.7).state == rollouts.COMPLETED
--- a/chiveswitch/core/versions.py
+++ b/chiveswitch/core/versions.py
@@ -19,9 +19,10 @@
 # Seconds after which a version without an order that runs beside accepted ones is accepted. An
 # order that control has confirmed reaches all gateways in touch much earlier.
 UNORDERED_SECONDS = 30.0
-# Share of the accepted versions' ready targets that has left since a version appeared without an
-# order, from which on it is accepted at once, because it replaces them.
+# Share of the accepted versions' ready targets, and number of them, that have left since a version
+# appeared without an order, from which on it is accepted at once, because it replaces them.
 REPLACED_SHARE = 0.4
+MIN_REPLACED = 2
 # Largest number of versions of one service that are remembered.
 MAX_VERSIONS = 64
 # Largest number of entries, one for each service, version and route, that are kept until the next
@@ -43,6 +44,8 @@
         seen_at_by_version: Time in seconds at which each version last had a usable target.
         known_since: Time in seconds of the first request.
         has_evidence: Whether answers are counted.
+        incumbent: Version that was alone for a while when an order named it, and is alone since
+            then, or None. Its order replaces nothing.
     """
 
     __slots__ = (
@@ -55,6 +58,7 @@
         "seen_at_by_version",
         "known_since",
         "has_evidence",
+        "incumbent",
     )
 
     def __init__(self):
@@ -67,6 +71,7 @@
         self.seen_at_by_version = {}
         self.known_since = None
         self.has_evidence = False
+        self.incumbent = None
 
     @property
     def running(self):
@@ -76,6 +81,8 @@
 
     def is_rolled_back(self, version: str) -> bool:
         """Returns whether the latest order for a version was rolled back."""
+        if version == self.incumbent:
+            return False
         order = self.order_by_version.get(version)
         return order is not None and order.state == rollouts.ROLLED_BACK
 
@@ -99,6 +106,8 @@
             self.share_until = now + state.valid_for_s
         self.held_by_version.pop(state.version, None)
         self.retired.discard(state.version)
+        if known is None and self._is_only(state.version, now):
+            self.incumbent = state.version
         if state.state != rollouts.COMPLETED:
             self.accepted.discard(state.version)
         elif not self._is_overtaken(state):
@@ -108,6 +117,11 @@
             oldest = min(self.order_by_version.values(), key=lambda each: each.serial)
             del self.order_by_version[oldest.version]
 
+    def _is_only(self, version, now):
+        """Returns whether no other version has had a target since the service has been known."""
+        is_long_known = self.known_since is not None and now - self.known_since >= ALONE_SECONDS
+        return is_long_known and self.seen_at_by_version.keys() == {version}
+
     def _is_overtaken(self, state):
         """Returns whether a later order was completed."""
         for other in self.order_by_version.values():
@@ -125,6 +139,10 @@
         if len(self.seen_at_by_version) > MAX_VERSIONS:
             oldest = min(self.seen_at_by_version, key=self.seen_at_by_version.get)
             del self.seen_at_by_version[oldest]
+        for version in self.held_by_version.keys() - targets_by_version.keys():
+            del self.held_by_version[version]
+        if self.seen_at_by_version.keys() - {self.incumbent}:
+            self.incumbent = None
         self.has_evidence = self.running is not None or len(targets_by_version) > 1
 
     def is_alone(self, version: str, now: float) -> bool:
@@ -279,6 +297,11 @@
             return version not in known.held_by_version
         return order.moves_copies or order.share >= 1.0
 
+    def is_withdrawn(self, service: str, version: str) -> bool:
+        """Returns whether a version gets no request because its order was rolled back."""
+        known = self._known_by_service.get(service)
+        return known is not None and known.is_rolled_back(version)
+
     def must_move_copy(self, service: str, version: str) -> bool:
         """Returns whether the copy of a running stream must leave a target of a version."""
         known = self._known_by_service.get(service)
@@ -347,7 +370,8 @@
         seen_at, count_then = held
         if now - seen_at >= UNORDERED_SECONDS:
             return "no order"
-        if accepted_count <= count_then * (1 - REPLACED_SHARE):
+        lost_count = count_then - accepted_count
+        if lost_count >= max(MIN_REPLACED, REPLACED_SHARE * count_then):
             return "replaces others"
         return ""
 
@@ -448,7 +472,7 @@
 
 def _has_usable(targets, now):
     for target in targets:
-        if target.avoided_until <= now and not target.report.overdue:
+        if max(target.avoided_until, target.paused_until) <= now and not target.report.overdue:
             return True
     return False
 
--- a/chiveswitch/core/versions_test.py
+++ b/chiveswitch/core/versions_test.py
@@ -363,3 +363,37 @@
 def test_times_are_counted_in_the_bucket_that_holds_them(seconds, bucket):
     # Guards against evidence that control reads as other times.
     assert versions.bucket_of(seconds) == bucket
+
+
+def test_an_order_for_the_only_version_of_a_service_takes_no_target_away():
+    # Failure: the first order names the version that runs already, and is rolled back.
+    policy, targets = make_policy(), make_targets(v1=2)
+    for now in (0.0, 4.0):
+        assert chosen(policy, targets, now) == "v1"
+    policy.apply_rollouts([order("v1")], 5.0)
+    policy.apply_rollouts([order("v1", ROLLED_BACK, step=2, share=0.0)], 8.0)
+    assert chosen(policy, targets, 9.0) == "v1"
+    # It ends when another version is there to serve.
+    assert chosen(policy, make_targets(v1=2, v2=2), 10.0) == "v2"
+
+
+def test_a_paused_target_of_a_new_version_takes_no_request_from_the_others():
+    # Load: the only target of the new version has asked this gateway for a pause.
+    policy, targets = make_policy(order()), make_targets(v1=2, v2=1)
+    targets[-1].paused_until = 60.0
+    assert chosen(policy, targets, 1.0, NEW) == "v1"
+
+
+def test_a_version_that_was_gone_for_long_is_held_again():
+    policy, targets = make_policy(), make_targets(v1=3)
+    assert chosen(policy, make_targets(v1=3, v2=1), 0.0) == "v1"
+    assert chosen(policy, targets, 1.0) == "v1"
+    assert chosen(policy, make_targets(v1=3, v2=1), 1000.0) == "v1"
+
+
+def test_the_loss_of_one_of_two_targets_accepts_no_other_version():
+    # Failure: one of two targets is lost beside a version whose order has not arrived yet.
+    policy = make_policy()
+    assert chosen(policy, make_targets(v1=2), 0.0) == "v1"
+    assert chosen(policy, make_targets(v1=2, v2=2), 1.0) == "v1"
+    assert chosen(policy, make_targets(v1=1, v2=2), 2.0) == "v1"
--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -96,8 +96,8 @@
             reason = f"{target.target_id} cannot be reached"
             forwarder.metrics.count("connects_failed")
             continue
-        # The target may have begun to drain, or asked for a pause, while the channel was opened.
-        if forwarder.target_table.is_draining_or_gone(target.target_id) or pauses.is_paused(target):
+        # This may have changed while the call waited for its turn or for the channel.
+        if forwarder.must_not_send(admitted, target):
             channel.abort()
             continue
         # The process may have begun to stop meanwhile.
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -524,6 +524,12 @@
             targets = self.target_table.ready_targets(name)
             self.versions.eligible(name, targets, now, versions.NO_SHARE_DRAW)
 
+    def must_not_send(self, admitted: AdmittedRequest, target) -> bool:
+        """Returns whether a chosen target leaves, asked for a pause, or has a withdrawn version."""
+        if self.target_table.is_draining_or_gone(target.target_id) or pauses.is_paused(target):
+            return True
+        return self.versions.is_withdrawn(admitted.service.name, target.report.version)
+
     def copy_targets(self, admitted: AdmittedRequest) -> list:
         """Returns the ready targets that may hold the copy of a stream."""
         name = admitted.service.name
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -430,9 +430,8 @@
         return max(0.0, events_left) * since_first / (self.delivered_count - 1)
 
     def is_unwanted_at(self, target) -> bool:
-        """Returns whether a target leaves or has asked this gateway for a pause."""
-        table = self.forwarder.target_table
-        return table.is_draining_or_gone(target.target_id) or pauses.is_paused(target)
+        """Returns whether the stream must not be sent to a target any more."""
+        return self.forwarder.must_not_send(self.admitted, target)
 
     async def open_channel(self, target, from_copy) -> channels.Channel | None:
         """Connects to a target and sends the request.
--- a/chiveswitch/tools/node_rollouts.py
+++ b/chiveswitch/tools/node_rollouts.py
@@ -240,9 +240,11 @@
         for entry in state.rollout_by_service.values():
             # The member's own clock decides on deadlines, so that another leader's clock, or one
             # that is set, moves none. Time passed for control in any case up to its last command.
+            # Control's time may lag before an order and catch up after it, so it is read once.
+            if entry.serial in self._began_by_serial:
+                continue
             began = now - (state.time_ms - entry.started_ms) / hub.MS_PER_SECOND
-            known = self._began_by_serial.get(entry.serial, math.inf)
-            self._began_by_serial[entry.serial] = min(known, began)
+            self._began_by_serial[entry.serial] = began
         steps = {
             entry.service_name: (entry.serial, entry.step)
             for entry in state.rollout_by_service.values()
@@ -412,12 +414,14 @@
         return judged.judge if judged is not None and judged.serial == entry.serial else None
 
     def _is_new(self, report):
-        position = (report.incarnation, report.sequence)
-        last = self._sequence_by_node.pop(report.node, (0, 0))
-        self._sequence_by_node[report.node] = max(last, position)
+        incarnation, sequence = self._sequence_by_node.pop(report.node, (0, 0))
+        # Incarnations are not ordered: a machine's time of day may have been set back.
+        is_new = incarnation != report.incarnation or report.sequence > sequence
+        last = (report.incarnation, report.sequence) if is_new else (incarnation, sequence)
+        self._sequence_by_node[report.node] = last
         if len(self._sequence_by_node) > MAX_REPORTING_NODES:
             del self._sequence_by_node[next(iter(self._sequence_by_node))]
-        return position > last
+        return is_new
 
     def _record(self, report):
         now = clock.now()
@@ -476,8 +480,9 @@
         if not await self._advance(entry, same, entry.spent, entry.total):
             return
         now = clock.now()
-        uncounted_s = (self._node.control.state.time_ms - counted_ms) / hub.MS_PER_SECOND
         began = self._began_by_serial[entry.serial]
+        uncounted_s = (self._node.control.state.time_ms - counted_ms) / hub.MS_PER_SECOND
+        uncounted_s = min(uncounted_s, now - began)
         order = rollouts.Order(
             entry.service_name,
             entry.version,
--- a/chiveswitch/tools/node_rollouts_test.py
+++ b/chiveswitch/tools/node_rollouts_test.py
@@ -469,3 +469,29 @@
 @pytest.mark.parametrize(("method", "path"), [("POST", "/rollouts"), ("GET", "/rollouts/desk")])
 def test_a_deployment_without_roll_outs_has_no_such_address(method, path):
     assert ask(method, path, ORDER, is_used=False).status == 404
+
+
+def test_a_lag_of_controls_time_moves_no_deadline(manual_clock):
+    # Failure: control was idle for an hour, so that its time lags and catches up in steps of five
+    # minutes with the commands after the order.
+    async def scenario():
+        member = Member()
+        member.state.time_ms = 1
+        manual_clock.now = member.now = 3600.0
+        await member.start()
+        await play(manual_clock, member, DURATION_SECONDS, start=3600.0)
+        return member
+
+    member = asyncio.run(scenario())
+    assert member.order().state == rollouts.COMPLETED
+    assert manual_clock.now > 3600.0 + DURATION_SECONDS / 2
+
+
+def test_a_gateway_that_restarts_with_an_earlier_time_of_day_is_counted(manual_clock):
+    member = Member()
+    asyncio.run(member.start())
+    report = rpc.EvidenceReport(node="g1", incarnation=9, sequence=5, counts=[])
+    assert member.exchange._is_new(report)
+    assert not member.exchange._is_new(report)
+    report.incarnation, report.sequence = 3, 1
+    assert member.exchange._is_new(report)
