Fix what a review of the budget, the waits and the rooms found

Cause, as the review showed: one config in progress filled the limit of all requests to its listener, so that announcements and liveness checks were refused; unread answers on connections that close after them could not give way; two long streams with bodies of 4 MB blocked all large bodies; a route without a latency objective divided by zero under pressure; waiting streams each computed all loads; room counted descriptors and memory against bounds that the budget never lets it reach. Change: large and small requests to the other listeners have limits of their own; a body counts once; the rest as above. A single config is still always read. Result: intake, memory_budget, stream_admission, stream_waits, overload, http_server and forwarder tests pass; test_unread_last_answers_give_way fails without its change. Open: frames of two slow configs, calls of equal content count as returns of each other, refusals by rank under the budget.

--- a/chiveswitch/core/memory_budget.py
+++ b/chiveswitch/core/memory_budget.py
@@ -42,24 +42,27 @@
 
     SMALL_REQUESTS = 0
     LARGE_REQUESTS = 1
-    # Requests to listeners other than that of the callers.
-    OTHER_REQUESTS = 2
+    # Large requests to listeners other than that of the callers.
+    LARGE_OTHER_REQUESTS = 2
     # Bytes of responses that were written and that the receiver has not taken.
     ANSWERS = 3
     # Incomplete responses of targets.
     RESPONSES = 4
     # Incomplete frames of peers.
     FRAMES = 5
+    # Small requests to listeners other than that of the callers, such as announcements.
+    SMALL_OTHER_REQUESTS = 6
 
 
-# Members of an enumeration are looked up slowly.
-_SMALL_REQUESTS = Kind.SMALL_REQUESTS
-_LARGE_REQUESTS = Kind.LARGE_REQUESTS
+# Kinds of small and of large requests, of callers and of others.
+CALLERS_KINDS = (Kind.SMALL_REQUESTS, Kind.LARGE_REQUESTS)
+OTHERS_KINDS = (Kind.SMALL_OTHER_REQUESTS, Kind.LARGE_OTHER_REQUESTS)
 
 SHARE_BY_KIND = {
     Kind.SMALL_REQUESTS: 3 / 16,
     Kind.LARGE_REQUESTS: 4 / 16,
-    Kind.OTHER_REQUESTS: 2 / 16,
+    Kind.LARGE_OTHER_REQUESTS: 3 / 32,
+    Kind.SMALL_OTHER_REQUESTS: 1 / 32,
     Kind.ANSWERS: 2 / 16,
     Kind.RESPONSES: 4 / 16,
     Kind.FRAMES: 1 / 16,
@@ -118,6 +121,11 @@
         """Whether holders of responses have to make do with their smaller limits."""
         return self.held_by_kind[Kind.RESPONSES] > self.limit_by_kind[Kind.RESPONSES]
 
+    def callers_share(self) -> float:
+        """Returns the used share of the scarcest limit that callers meet, above 1 if exceeded."""
+        kinds = (*CALLERS_KINDS, Kind.ANSWERS)
+        return max(self.held_by_kind[kind] / self.limit_by_kind[kind] for kind in kinds)
+
     def is_over(self, kind: Kind) -> bool:
         """Returns whether more than its limit is held of a kind."""
         return self.held_by_kind[kind] > self.limit_by_kind[kind]
@@ -163,9 +171,14 @@
         self.budget.held_by_kind[self.kind] += held_bytes - self.held_bytes
         self.held_bytes = held_bytes
 
-    def update_request(self, held_bytes: int):
-        """Counts a caller's request as a small or large one, by its cost."""
-        kind = _SMALL_REQUESTS if held_bytes <= SMALL_REQUEST_BYTES else _LARGE_REQUESTS
+    def update_request(self, held_bytes: int, kinds: tuple = CALLERS_KINDS):
+        """Counts a request as a small or large one, by its cost.
+
+        Args:
+            held_bytes: Bytes that it makes the process hold.
+            kinds: Its kind if it is small, and if it is large.
+        """
+        kind = kinds[held_bytes > SMALL_REQUEST_BYTES]
         if kind is not self.kind:
             self.update(0)
             self.kind = kind
--- a/chiveswitch/core/overload.py
+++ b/chiveswitch/core/overload.py
@@ -18,6 +18,8 @@
 # Time in seconds without a sign of pressure after which calls need no grants any more.
 HOLD_SECONDS = 2.0
 # Work time that is assumed before one was measured, as a share of the latency objective.
+# Least expected time of work in seconds, also for routes without a latency objective.
+MIN_WORK_SECONDS = 0.001
 ASSUMED_WORK_SHARE = 0.2
 # Weight of the newest measurement in the average of a service's work times, and bound of it as a
 # multiple of that average: some responses are late for causes other than work.
@@ -188,7 +190,8 @@
         """Returns the time in seconds that a target is expected to work on a call."""
         pressure = self._pressure_by_service.get(service)
         known_s = pressure.work_s if pressure is not None else 0.0
-        return min(known_s or ASSUMED_WORK_SHARE * objective_s, MAX_WORK_SHARE * objective_s)
+        expected_s = min(known_s or ASSUMED_WORK_SHARE * objective_s, MAX_WORK_SHARE * objective_s)
+        return max(MIN_WORK_SECONDS, expected_s)
 
     def max_wait_s(self, service, objective_s: float, waited_s: float, remaining_s: float) -> float:
         """Returns how long a call may wait for a grant so that its objective can still be met.
--- a/chiveswitch/forwarding/forwarder.py
+++ b/chiveswitch/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 calls the handler of its route's kind."""
 
 import asyncio
+import math
 import random
 
 from chiveswitch.core import (
@@ -39,6 +40,9 @@
 MAX_STARTUP_WAIT_SECONDS = 1.0
 STARTUP_WAIT_SHARE = 0.25
 STARTUP_POLL_SECONDS = 0.02
+# Time in seconds for which waiting streams share one computation of the targets' loads. Reports of
+# other gateways are older than that.
+LOADS_KEPT_SECONDS = 0.05
 
 # Ratio by which the factor of a target has to change before the change is logged.
 MIN_LOGGED_RATIO = 1.25
@@ -234,6 +238,7 @@
         "versions",
         "_pace_by_service",
         "_logged_factor_by_id",
+        "_recent_loads",
         "_tasks",
         "_check_by_id",
         "_started_at",
@@ -282,6 +287,7 @@
         )
         self._pace_by_service = {}
         self._logged_factor_by_id = {}
+        self._recent_loads = (-math.inf, {})
         self._tasks = set()
         self._check_by_id = {}
         self._started_at = clock.now()
@@ -524,6 +530,14 @@
             targets = self.target_table.ready_targets(name)
             self.versions.eligible(name, targets, now, versions.NO_SHARE_DRAW)
 
+    def recent_loads(self, now: float) -> dict:
+        """Returns the loads of targets, computed at most `LOADS_KEPT_SECONDS` ago."""
+        computed_at, loads = self._recent_loads
+        if now - computed_at > LOADS_KEPT_SECONDS:
+            loads = self.run_table.load_by_target(now, self.speeds)
+            self._recent_loads = (now, loads)
+        return loads
+
     def must_not_send(self, admitted: AdmittedRequest, target) -> bool:
         """Returns whether a chosen target leaves, asked for a pause, or has a withdrawn version."""
         if self.target_table.is_draining_or_gone(target.target_id) or pauses.is_paused(target):
--- a/chiveswitch/forwarding/http_server.py
+++ b/chiveswitch/forwarding/http_server.py
@@ -232,11 +232,8 @@
         self.server = server
         budget = server.intake.budget
         # Accounts of what the caller has sent and of what it has not taken.
-        kinds = memory_budget.Kind
-        self.input = budget.open_account(
-            kinds.SMALL_REQUESTS if server.serves_callers else kinds.OTHER_REQUESTS
-        )
-        self.output = budget.open_account(kinds.ANSWERS)
+        self.input = budget.open_account(server.request_kinds[0])
+        self.output = budget.open_account(memory_budget.Kind.ANSWERS)
         self.served_count = 0
         self.writable = asyncio.Event()
         self.writable.set()
@@ -350,10 +347,7 @@
             # What arrives while reading is paused stays in the system.
             held_bytes += intakes.RECEIVE_BUFFER_BYTES
         account = self.input
-        if self.server.serves_callers:
-            account.update_request(held_bytes)
-        else:
-            account.update(held_bytes)
+        account.update_request(held_bytes, self.server.request_kinds)
         if account.is_over and held_bytes:
             self.server.intake.relieve_requests(self)
 
@@ -448,8 +442,7 @@
         """Queues the request."""
         self._is_continue_due = False
         self._queued_requests.append(self._request)
-        # Requests for targets are copied when they are encoded.
-        self._queued_bytes += self._request.head_bytes + 2 * len(self._request.body)
+        self._queued_bytes += self._request.head_bytes + len(self._request.body)
         self._request = None
         self._header_bytes = 0
 
@@ -464,7 +457,7 @@
             return
         if self._queued_requests:
             request = self._queued_requests.pop(0)
-            self._serving_bytes = request.head_bytes + 2 * len(request.body)
+            self._serving_bytes = request.head_bytes + len(request.body)
             self._queued_bytes -= self._serving_bytes
             self._task = asyncio.get_running_loop().create_task(self._serve(request))
             return
@@ -500,6 +493,7 @@
         if not responder.is_complete:
             responder.abort()
         if self._closed or self._ended_at is not None or self._transport.is_closing():
+            self.input.update(0)
             return
         if self._unparsed and not self._queued_requests and self._refusal_status is None:
             data, self._unparsed = self._unparsed, b""
@@ -549,7 +543,7 @@
         self._unparsed = b""
         self._is_held = False
         self.server.intake.forget(self)
-        self._update_input()
+        self.input.update(self._serving_bytes)
         try:
             self._transport.write_eof()
         except OSError:
@@ -603,10 +597,12 @@
 
     def claim(self, account, now: float, waiting_s: float | None):
         """Returns a `memory_budget.Claim` of an account, or None if it cannot give way."""
-        if self._ended_at is not None or self._transport.is_closing():
+        if self._transport.is_closing():
             return None
         if account is self.output:
             return memory_budget.Claim(self, account.held_bytes, now - self._taken_at)
+        if self._ended_at is not None:
+            return None
         if self._request is None and not self._queued_requests and not self._unparsed:
             return None
         stalled_s = now - self._progress_at
@@ -723,7 +719,7 @@
         transferred_bytes: Bytes received from and written to callers since the start.
         intake: `intake.Intake`, which bounds what the connections hold.
         max_connections: Largest number of connections, 0 if unlimited.
-        serves_callers: Whether its requests count as those of callers.
+        request_kinds: `memory_budget.Kind` of its small and of its large requests.
     """
 
     __slots__ = (
@@ -735,7 +731,7 @@
         "transferred_bytes",
         "intake",
         "max_connections",
-        "serves_callers",
+        "request_kinds",
         "_server",
         "_expiry_task",
     )
@@ -763,7 +759,9 @@
         self.intake = intake or intakes.Intake()
         self.intake.servers.append(self)
         self.max_connections = self.intake.budget.max_connections(listener)
-        self.serves_callers = listener == memory_budget.Listener.CALLERS
+        self.request_kinds = memory_budget.OTHERS_KINDS
+        if listener == memory_budget.Listener.CALLERS:
+            self.request_kinds = memory_budget.CALLERS_KINDS
         self._server = None
         self._expiry_task = None
 
--- a/chiveswitch/forwarding/intake_test.py
+++ b/chiveswitch/forwarding/intake_test.py
@@ -13,6 +13,9 @@
     header_bytes=16_384, body_bytes=BODY_BYTES, header_timeout_s=5.0, idle_timeout_s=5.0
 )
 ANSWER_BYTES = 200_000
+# More than the system's buffers of a connection take.
+HUGE_ANSWER_BYTES = 8_000_000
+SIZE_BY_PATH = {"/large": ANSWER_BYTES, "/huge": HUGE_ANSWER_BYTES}
 
 
 class Fixture:
@@ -35,7 +38,7 @@
 
     async def _answer(self, request, responder):
         self.seen.append(len(request.body))
-        size = ANSWER_BYTES if request.path == "/large" else len(request.path)
+        size = SIZE_BY_PATH.get(request.path, len(request.path))
         responder.send(200, [], b"x" * size)
 
     async def connect(self, data=b""):
@@ -181,3 +184,38 @@
         assert len(fixture.server.connections) <= 10
 
     run(scenario)
+
+
+def test_announcements_are_taken_beside_a_large_config():
+    # Load: an operator's config that takes the room of all large requests to its listener.
+    budget = memory_budget.MemoryBudget(MEMORY_BYTES)
+    config = budget.open_account()
+    config.update_request(8 * BODY_BYTES, memory_budget.OTHERS_KINDS)
+    announcement = budget.open_account()
+    announcement.update_request(4_000, memory_budget.OTHERS_KINDS)
+    assert config.is_over and config.is_alone
+    assert not announcement.is_over
+
+
+def test_unread_last_answers_give_way():
+    # Load: callers that close after one answer and read nothing of it.
+    async def scenario(fixture):
+        budget = fixture.intake.budget
+        kind = memory_budget.Kind.ANSWERS
+        request = b"GET /huge HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+        async def connect_all(count):
+            before = len(fixture.seen)
+            for _ in range(count):
+                _, writer = await fixture.connect()
+                writer.transport.pause_reading()
+                writer.write(request)
+            await platform_standins.wait_until(lambda: len(fixture.seen) >= before + count)
+
+        await connect_all(6)
+        await asyncio.sleep(2 * intake.STALLED_ANSWER_SECONDS)
+        await connect_all(1)
+        # A single answer may be larger than the limit.
+        assert budget.held_by_kind[kind] <= 2 * HUGE_ANSWER_BYTES
+
+    run(scenario)
--- a/chiveswitch/forwarding/stream_waits.py
+++ b/chiveswitch/forwarding/stream_waits.py
@@ -67,7 +67,7 @@
             self.candidate,
             admitted.service_order,
             pauses.without_pause(ready),
-            forwarder.run_table.load_by_target(now, forwarder.speeds),
+            forwarder.recent_loads(now),
             admitted.service.engine,
             now,
             forwarder.speeds,
--- a/chiveswitch/tools/node_usage.py
+++ b/chiveswitch/tools/node_usage.py
@@ -1,13 +1,7 @@
 """Measures what a node uses of its VM: processor, network link, memory and descriptors."""
 
-import pathlib
-import resource
-
 from chiveswitch.core import rooms
 
-STATM_PATH = pathlib.Path("/proc/self/statm")
-# File descriptors that a VM reserves for files.
-RESERVED_DESCRIPTORS = 200
 # Each byte of a caller passes the link a second time, to or from a target.
 LINK_PASSES = 2
 # Time between two measurements, and the delay of one at which the processor counts as used up:
@@ -48,17 +42,10 @@
         return rooms.Usage(
             min(1.0, delay_s / FULL_DELAY_SECONDS),
             link,
-            _share(_resident_bytes(), settings.memory_bytes),
-            _share(len(self._server.connections), settings.max_descriptors - RESERVED_DESCRIPTORS),
+            min(1.0, self._server.intake.budget.callers_share()),
+            _share(len(self._server.connections), self._server.max_connections),
         )
 
 
 def _share(used, size):
     return used / size if size > 0 else 0.0
-
-
-def _resident_bytes():
-    try:
-        return int(STATM_PATH.read_text(encoding="ascii").split()[1]) * resource.getpagesize()
-    except (OSError, IndexError, ValueError):
-        return 0
