--- a/review/7/case.py
+++ b/review/7/case.py
@@ -87,13 +87,14 @@
         results = await asyncio.gather(
             *(run_client(nodes[i % len(nodes)].front, started) for i in range(CLIENTS))
         )
+        run_ids = {each for worker in workers for _, each, _ in worker.runs}
         total, breaks = 0, []
         for request_id, found in (each for answers in results for each in answers):
             total += 1
             seal = found.headers.get("x-response-seal")
             recorder.quiet(
                 f"answered {request_id}: status {found.status}, complete={found.complete}, "
-                f"seal={seal}, spoiled={request_id in spoiled_ids}"
+                f"seal={seal}, run={request_id in run_ids}, spoiled={request_id in spoiled_ids}"
             )
             if 200 <= found.status < 300 and found.complete and seal is None:
                 breaks.append(
--- a/review/platform2.py
+++ b/review/platform2.py
@@ -66,9 +66,14 @@
 
 
 class Node:
-    """A machine with one process of the system."""
+    """A machine with one process of the system.
 
-    def __init__(self, deployment, number):
+    Attributes:
+        has_disk: Whether it has a disk; only such machines count for `fault-tolerance`.
+    """
+
+    def __init__(self, deployment, number, has_disk=True):
+        self.has_disk = has_disk
         self.deployment = deployment
         self.number = number
         self.ip = deployment.ips[number]
@@ -89,11 +94,14 @@
         ports = deployment.ports
         data = self.folder / "data"
         data.mkdir(parents=True, exist_ok=True)
+        disk = "counts-as-loss = false"
+        if self.has_disk:
+            disk = f'counts-as-loss = true\ndata-dir = "{data}"'
+        disk_mb = 64 if self.has_disk else 0
         seeds = ",".join(f'"{ip}:{ports["control"]}"' for ip in deployment.ips[:3])
         zones = "\n".join(f'z{i} = "r"' for i in range(len(deployment.ips)))
         bounds = "\n".join(f"{k} = {v}" for k, v in deployment.bounds.items())
-        (self.folder / "boot.toml").write_text(
-            f"""node-name = "{self.name}"
+        (self.folder / "boot.toml").write_text(f"""node-name = "{self.name}"
 role = "node"
 machine-class = "front"
 serves = ["front","control","directory"]
@@ -103,8 +111,7 @@
 internal-port-range = [{ports["internal"]},{ports["internal"]}]
 seeds = [{seeds}]
 bootstrap = {str(self.first_start).lower()}
-counts-as-loss = true
-data-dir = "{data}"
+{disk}
 discovery = "registration"
 entry = "directory"
 heartbeat-ms = 1200
@@ -123,15 +130,14 @@
 memory-mb = 300
 max-fds = 4100
 link-mbps = 1000.0
-disk-mb = 64
+disk-mb = {disk_mb}
 [fault-tolerance]
-machines = {1 if len(deployment.ips) > 2 else 0}
+machines = {1 if deployment.disk_count > 2 else 0}
 zones = 0
 regions = 0
 [bounds]
 {bounds}
-"""
-        )
+""")
 
     def start(self):
         """Starts the process with the command of the deploy file."""
@@ -173,7 +179,8 @@
 class Deployment:
     """A few machines, the operator's config and the workers' service names."""
 
-    def __init__(self, node_count=4, **bounds):
+    def __init__(self, node_count=4, diskless_count=0, **bounds):
+        """Prepares `node_count` machines, of which the last `diskless_count` have no disk."""
         rng = random.SystemRandom()
         prefix = f"127.{rng.randrange(20, 250)}.{rng.randrange(1, 250)}"
         self.ips = [f"{prefix}.{i + 1}" for i in range(node_count)]
@@ -209,7 +216,8 @@
             "ttl_max_s": 5,
             **bounds,
         }
-        self.nodes = [Node(self, number) for number in range(node_count)]
+        self.disk_count = node_count - diskless_count
+        self.nodes = [Node(self, i, i < self.disk_count) for i in range(node_count)]
 
     def start(self):
         """Starts all nodes."""
