Accept no response without the request's id on a new channel

Cause: Channel.matches_request accepted a response without an id if it was the first one of its channel, since no late one can arrive there. A faulty target's bytes can. Refusals passed in the same way: a 503 that claims "not run" sent an unrepeatable call to a second target.

Change: a response belongs to a request only if it repeats the id, which targets do in all of them. The log tells missing ids from other ids. The stand-in for workers sent its 421 without the id and the statement "not run"; it now sends both, as the workers do, so test_a_worker_at_a_reused_address_does_not_run_the_request asks for the same as before.

Why it works: the mark that is asked for is made by the target for this request; it does not matter where other bytes come from.

--- a/chiveswitch/forwarding/channel.py
+++ b/chiveswitch/forwarding/channel.py
@@ -82,7 +82,6 @@
         self.answered_ids = set()
         self._request_id_header = None
         self._stray_count = 0
-        self._request_count = 0
         self._framing_bytes = 0
         self._body_bytes = 0
         self._transport = None
@@ -225,9 +224,7 @@
         response = self.response
         if response.complete or response.status < 200:
             return
-        name, value = self._request_id_header
-        found = response.value_by_header.get(name) if name else None
-        if found is not None and found != value and self._stray_count < MAX_STRAY_RESPONSES:
+        if self.answers_other_request and self._stray_count < MAX_STRAY_RESPONSES:
             self._stray_count += 1
             self._is_reusable = False
             self.response = Response()
@@ -266,7 +263,6 @@
         self.response = Response()
         self._request_id_header = request_id_header
         self._stray_count = 0
-        self._request_count += 1
         self._framing_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._is_close_delimited = False
@@ -323,16 +319,24 @@
             self._wait_for_turn()
         return data
 
-    def matches_request(self, value: str) -> bool:
-        """Returns whether the response belongs to the request with the id `value`.
+    @property
+    def answers_other_request(self) -> bool:
+        """Whether the response names the id of another request than the present one."""
+        name, value = self._request_id_header
+        return self.response.value_by_header.get(name, value) != value
+
+    def find_mismatch(self) -> str:
+        """Returns why the response does not belong to the request, or an empty string.
 
-        A response without an id may be a late one to an earlier request of the channel, so that
-        only the first response of a channel may lack it.
+        A response without an id may be a late one to an earlier request, or no response of the
+        target at all.
         """
-        found = self.response.value_by_header.get(self._request_id_header[0])
-        if found is None:
-            return self._request_count == 1 and self._stray_count == 0
-        return found == value
+        name, _ = self._request_id_header
+        if self.answers_other_request:
+            return f"answered {self.response.status} for another request"
+        if name not in self.response.value_by_header:
+            return f"answered {self.response.status} without a request id"
+        return ""
 
     def release(self) -> bool:
         """Ends the request; closes the channel and returns False if it is not reusable."""
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -513,9 +513,7 @@
             while True:
                 response = channel.response
                 if response.status and not accepted:
-                    if response.status != 200 or not channel.matches_request(
-                        admitted.caller.request_id
-                    ):
+                    if response.status != 200 or channel.find_mismatch():
                         return await self.handle_other_response(
                             target, channel, may_have_run_before
                         )
@@ -747,13 +745,18 @@
     ) -> tuple[AttemptEnd, str]:
         """Processes a response that is not a stream; returns a result as `relay_events` does."""
         forwarder, admitted = self.forwarder, self.admitted
+        mismatch = channel.find_mismatch()
+        # The expected response may follow one to another request.
+        if mismatch and not channel.answers_other_request:
+            return AttemptEnd.FAULTY, mismatch
         response = await channel.read_response(clock.now() + PROBE_TIMEOUT_SECONDS)
         if response is None:
             if channel.failure_reason:
                 return AttemptEnd.DISCONNECTED, channel.failure_reason
             return AttemptEnd.SILENT, "the response was not complete in time"
-        if not channel.matches_request(admitted.caller.request_id):
-            return AttemptEnd.FAULTY, f"answered {response.status} for another request"
+        mismatch = channel.find_mismatch()
+        if mismatch:
+            return AttemptEnd.FAULTY, mismatch
         forwarder.pool.release(channel)
         response_info = forwarder.process_response(target, response)
         forwarder.observe_response(target, response_info, self.sent_at)
--- /dev/null
+++ b/chiveswitch/forwarding/unidentified_responses_test.py
@@ -0,0 +1,131 @@
+"""Tests of bytes that a faulty target sends in place of its response, without the request's id."""
+
+import asyncio
+
+import pytest
+
+from chiveswitch.core import clock
+from chiveswitch.forwarding import endless_bytes_test, forwarder_test, unframed_responses_test
+from features import platform_standins
+
+LARGE_BODY = b"x" * 300_000
+EVENTS = unframed_responses_test.events(0, unframed_responses_test.EVENT_COUNT)
+
+
+def response_without_id(status, body, *fields):
+    """Returns a response that has everything but the request's id."""
+    lines = [b"HTTP/1.1 %d Status" % status, b"X-Response-Seal: seal", *fields]
+    lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+RESPONSE_BY_CASE = {
+    "success": response_without_id(200, b"ready\n"),
+    "large success": response_without_id(200, LARGE_BODY),
+    "events": response_without_id(200, EVENTS),
+    "success without a length": b"HTTP/1.1 200 OK\r\nX-Response-Seal: seal\r\n\r\n" + EVENTS,
+    "refusal": response_without_id(404, b"gone"),
+    "failure": response_without_id(500, b"failed"),
+    "other instance": response_without_id(421, b""),
+    "full": response_without_id(503, b"", b"X-Not-Executed: 1"),
+    "empty id": response_without_id(200, EVENTS, b"X-Request-Id:"),
+}
+
+
+def send_always(data):
+    """Returns a function that answers each request with the same bytes on a new connection."""
+
+    async def write_answer(target, writer, _request_id):
+        await target.write(writer, data)
+        writer.close()
+
+    return write_answer
+
+
+@pytest.mark.parametrize("case", RESPONSE_BY_CASE)
+def test_a_call_gets_no_response_without_its_id_on_a_new_channel(tmp_path, case):
+    # Guards against callers of unrepeatable calls that take the bytes of a faulty target for its
+    # response, and against a second run after a rejection that no target has stated.
+    async def scenario(fixture):
+        faulty = endless_bytes_test.RawTarget("t", send_always(RESPONSE_BY_CASE[case]))
+        await faulty.start(fixture, "plain", "a")
+        sound = await fixture.add("w0", "plain", "a")
+        fixture.table.find("w0").open_requests = 1000
+        answer = await forwarder_test.call(fixture, "u1")
+        assert (answer.status, answer.complete, answer.body) == (502, True, b"")
+        assert "x-response-seal" not in answer.value_by_header
+        assert faulty.request_count == 1 and not sound.runs
+        await faulty.stop()
+
+    forwarder_test.run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("case", RESPONSE_BY_CASE)
+def test_a_repeatable_call_gets_the_response_of_a_sound_target(tmp_path, case):
+    # Guards against callers of repeatable calls that get such bytes although a target is sound.
+    async def scenario(fixture):
+        faulty = endless_bytes_test.RawTarget("t", send_always(RESPONSE_BY_CASE[case]))
+        await faulty.start(fixture, "plain", "a")
+        await fixture.add("w0", "plain", "a")
+        fixture.table.find("w0").open_requests = 1000
+        answer = await forwarder_test.call(fixture, "s1", "/r/x", "GET", b"")
+        assert answer.status == 200 and answer.body.startswith(b"GET /r/x")
+        assert answer.value_by_header["x-response-seal"] == "seal-w0"
+        assert faulty.request_count == 1
+        await faulty.stop()
+
+    forwarder_test.run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("case", RESPONSE_BY_CASE)
+def test_a_stream_continues_after_a_response_without_its_id(tmp_path, case):
+    # Guards against streams of bytes that no engine has stated, from their start and after a
+    # failover.
+    sound_is_known = asyncio.Event()
+
+    async def begin_only(target, writer, request_id):
+        head = endless_bytes_test.HEAD % request_id
+        await target.write(writer, head + b"\r\n" + unframed_responses_test.events(0, 3))
+        unframed_responses_test.reset(writer)
+
+    async def send_late(target, writer, request_id):
+        await sound_is_known.wait()
+        await send_always(RESPONSE_BY_CASE[case])(target, writer, request_id)
+
+    async def scenario(fixture):
+        broken = endless_bytes_test.RawTarget("e0", begin_only)
+        await broken.start(fixture, "engines", "a")
+        task = asyncio.ensure_future(forwarder_test.stream(fixture, "r1"))
+        await platform_standins.wait_until(lambda: broken.request_count)
+        faulty = endless_bytes_test.RawTarget("e1", send_late)
+        await faulty.start(fixture, "engines", "a")
+        await platform_standins.wait_until(lambda: faulty.request_count)
+        fixture.table.remove("e0", clock.now())
+        sound = await fixture.add("e2", "engines", "b")
+        sound_is_known.set()
+        answer = await task
+        assert answer.complete
+        assert answer.event_ids() == list(range(unframed_responses_test.EVENT_COUNT))
+        assert [fields.get("last-event-id") for _, fields in sound.runs] == ["2"]
+        await broken.stop()
+        await faulty.stop()
+
+    forwarder_test.run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("case", RESPONSE_BY_CASE)
+def test_a_stream_that_runs_once_gets_no_response_without_its_id(tmp_path, case):
+    # Guards against the same bytes at the start of a stream, and against a second run of it.
+    async def scenario(fixture):
+        fixture.gateway.bundle.routes[0].resumable = False
+        faulty = endless_bytes_test.RawTarget("e0", send_always(RESPONSE_BY_CASE[case]))
+        await faulty.start(fixture, "engines", "a")
+        task = asyncio.ensure_future(forwarder_test.stream(fixture, "r1"))
+        await platform_standins.wait_until(lambda: faulty.request_count)
+        sound = await fixture.add("e1", "engines", "b")
+        answer = await task
+        assert (answer.status, answer.body) == (502, b"")
+        assert faulty.request_count == 1 and not sound.runs
+        await faulty.stop()
+
+    forwarder_test.run(scenario, tmp_path)
--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -124,7 +124,8 @@
         request_id = headers.get("x-request-id", "")
         expected = headers.get("x-expect-instance")
         if expected not in (None, self.worker_id):
-            responder.send(421, [("X-Instance-Id", self.worker_id)])
+            refusal_headers = self._refusal_headers(request_id)
+            responder.send(421, [("X-Instance-Id", self.worker_id), *refusal_headers])
             return
         if request.path.startswith("/kv-handle/"):
             self.freed_handles.append(request.path.rpartition("/")[2])
