Learn nothing of a target from responses that are not its answer

What callers would see: refusals beside a sound target, since a 421 in bytes that belong to no request made the gateway remove the target; its load was taken from such bytes, too.

Cause: _send_call called process_response for each complete response and only then looked whether it belonged to the call.

Change: a response with a fault ends the attempt before its status or load is applied. The evidence against the target's version counts it as a failed answer in any case; a foreign 421 was left out before.

Result: test_a_target_is_not_judged_by_bytes_that_it_has_not_stated failed for calls before (the target was gone from the table) and passes; the case of streams guards what was right.

--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -278,26 +278,27 @@
             if is_broken:
                 await forwarder.report_crash_if_lost(admitted, target, check, channel)
         return SendOutcome(None, False, reason)
+    if fault:
+        channel.abort()
+        target.record_outcome(True, now - started)
+        forwarder.record_answer(admitted, target, True)
+        return SendOutcome(None, False, fault)
     is_failure = response.status >= 500
-    if not fault:
-        forwarder.overload.observe_response(admitted, target, response_info, is_failure, started)
+    forwarder.overload.observe_response(admitted, target, response_info, is_failure, started)
     if response_info.not_run or is_failure:
         channel.answered_ids.add(admitted.caller.request_id)
-    if fault:
-        channel.abort()
-    elif response.complete:
+    if response.complete:
         forwarder.pool.release(channel)
     elif is_failure or response.status in UNPROVEN_STATUSES:
         channel.abort()
     forwarder.process_response(target, response_info)
-    if response_info.not_run and not fault:
+    if response_info.not_run:
         admitted.may_have_run = may_have_run_before
         return SendOutcome(None, True, f"rejected the request with status {response.status}")
-    if fault or response.status in UNPROVEN_STATUSES:
+    if response.status in UNPROVEN_STATUSES:
         target.record_outcome(True, now - started)
-        if not response_info.is_misdirected:
-            forwarder.record_answer(admitted, target, True)
-        reason = fault or f"answered {response.status} without a statement that it did not run"
+        forwarder.record_answer(admitted, target, True)
+        reason = f"answered {response.status} without a statement that it did not run"
         return SendOutcome(None, False, reason)
     forwarder.record_beginning(admitted.parts, target)
     target.record_outcome(is_failure, now - started)
--- a/chiveswitch/forwarding/foreign_responses_test.py
+++ b/chiveswitch/forwarding/foreign_responses_test.py
@@ -147,3 +147,26 @@
         await faulty.stop()
 
     forwarder_test.run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("prefix", ["/w/x", "/s/x"])
+def test_a_target_is_not_judged_by_bytes_that_it_has_not_stated(tmp_path, prefix):
+    # Guards against targets that are dropped until their next start, or chosen by a load that is
+    # not theirs, because of bytes that belong to no request.
+    data = response(421, b"", b"X-Instance-Load: 70,30,8", b"X-Not-Executed: 1")
+
+    async def scenario(fixture):
+        service = "engines" if prefix == "/s/x" else "plain"
+        faulty = endless_bytes_test.RawTarget("t", send_always(data))
+        await faulty.start(fixture, service, "a")
+        fields = platform_standins.stream_headers("r1")
+        answer = await platform_standins.send_request(
+            fixture.address, "POST", prefix, fields, b"order"
+        )
+        assert answer.status == 502
+        target = fixture.table.find("t")
+        assert target in fixture.table.ready_targets(service)
+        assert not target.load_at
+        await faulty.stop()
+
+    forwarder_test.run(scenario, tmp_path)
