Complete a response at the end of a connection only after the request

What callers saw (operators of similar systems; here in a test only): the first part of an early response without a length as a complete 200, although the target reset the connection while a long upload was still being sent.

Cause: Channel.eof_received completed such a response as soon as the target's end of data arrived, and closed its own side. A target that closes without reading the rest sends its end of data first; the reset answers what is sent after that. Readers of the socket learn nothing of it any more.

Change: at the end of data the response is complete if the target has acknowledged the whole request (TIOCOUTQ) and the socket has no error; otherwise the channel sends on, checks every 10 ms, and takes a reset for a broken response. A target that ends its side and reads on gets the whole request, which was cut off before.

--- a/chiveswitch/forwarding/channel.py
+++ b/chiveswitch/forwarding/channel.py
@@ -1,7 +1,11 @@
 """HTTP/1.1 channels to targets, which carry one request at a time and skip stray responses."""
 
 import asyncio
+import fcntl
+import os
 import socket
+import struct
+import termios
 
 import httptools
 
@@ -27,6 +31,9 @@
 MAX_HEADER_FIELDS = 256
 # Largest number of responses to other requests that are skipped before the expected one.
 MAX_STRAY_RESPONSES = 4
+# Interval in seconds at which a channel whose response has ended checks whether the target has
+# received the rest of the request.
+DELIVERY_CHECK_SECONDS = 0.01
 # Number of `answered_ids` from which on a channel is not reused any more.
 MAX_ANSWERED_IDS = 64
 
@@ -159,12 +166,37 @@
 
     def eof_received(self):
         """Completes a response that is delimited by the end of the connection."""
-        if self.response is not None and not self.response.complete and self.response.status:
-            if self._is_close_delimited:
-                self.response.complete = True
+        response = self.response
+        is_in_progress = response is not None and response.status and not response.complete
+        if is_in_progress and self._is_close_delimited:
+            self._complete_after_request()
+            # Keeps the connection open for the rest of the request.
+            return True
         self._mark_failed("closed by the target")
         return False
 
+    def _complete_after_request(self):
+        """Completes a response that has ended, as soon as the target has the whole request.
+
+        A target that does not read the rest resets the connection after it has closed it. Such a
+        response was broken off.
+        """
+        if self.failure_reason:
+            return
+        sock = self._transport.get_extra_info("socket")
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._mark_failed(f"reset: [Errno {error}] {os.strerror(error)}")
+            self._transport.abort()
+            return
+        if self._transport.get_write_buffer_size() or _unacknowledged_bytes(sock):
+            loop = asyncio.get_running_loop()
+            loop.call_later(DELIVERY_CHECK_SECONDS, self._complete_after_request)
+            return
+        self.response.complete = True
+        self._mark_failed("closed by the target")
+        self._transport.close()
+
     def connection_lost(self, error):
         """Records why the connection ended."""
         self._account.update(0)
@@ -363,6 +395,12 @@
         self._transport.abort()
 
 
+def _unacknowledged_bytes(sock) -> int:
+    """Returns how many bytes were written to a socket and not acknowledged by the other side."""
+    (size,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
+    return size
+
+
 async def _open(address, target_id, pacer) -> Channel:
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
--- a/chiveswitch/forwarding/endless_bytes_test.py
+++ b/chiveswitch/forwarding/endless_bytes_test.py
@@ -38,13 +38,17 @@
         sent_bytes: Number of bytes that were written so far.
         request_count: Number of requests that arrived.
         makes_copies: Whether the function also answers requests for copies; else they get 404.
+        answers_early: Whether the function is called before the body of the request is read.
+        received_bytes: Number of bytes of bodies that were read so far.
     """
 
-    def __init__(self, worker_id, write_answer, makes_copies=False):
+    def __init__(self, worker_id, write_answer, makes_copies=False, answers_early=False):
         self.worker = platform_standins.Worker(worker_id, f"127.0.0.1:{processes.free_port()}", {})
         self.sent_bytes = 0
         self.request_count = 0
         self.makes_copies = makes_copies
+        self.answers_early = answers_early
+        self.received_bytes = 0
         self._write_answer = write_answer
         self._server = None
 
@@ -73,7 +77,12 @@
                         length = int(value)
                     if name.lower() == b"x-request-id":
                         request_id = value.strip()
-                await reader.readexactly(length)
+                if self.answers_early:
+                    self.request_count += 1
+                    await self._write_answer(self, writer, request_id)
+                self.received_bytes += len(await reader.readexactly(length))
+                if self.answers_early:
+                    continue
                 if b"/kv-move" in head and not self.makes_copies:
                     writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
                     continue
--- a/chiveswitch/forwarding/unframed_responses_test.py
+++ b/chiveswitch/forwarding/unframed_responses_test.py
@@ -13,6 +13,8 @@
 
 HEAD = endless_bytes_test.HEAD + b"\r\n"
 EVENT_COUNT = 12
+# More than the system receives on a connection that is not read from.
+UPLOAD = b"u" * 4_000_000
 
 
 def reset(writer):
@@ -27,6 +29,13 @@
     writer.close()
 
 
+async def end_and_reset(writer):
+    """Ends the written side of a connection and resets it when the end has arrived."""
+    writer.write_eof()
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
 def send_body(body, end):
     """Returns a function that answers with a body and then ends the connection."""
 
@@ -164,3 +173,75 @@
         await source.stop()
 
     forwarder_test.run(scenario, tmp_path)
+
+
+async def upload(fixture, prefix, fields):
+    """Sends a request with a body that takes a while."""
+    fixture.gateway.bundle.limits.body_bytes = len(UPLOAD)
+    return await platform_standins.send_request(fixture.address, "POST", prefix, fields, UPLOAD)
+
+
+@pytest.mark.parametrize("size", [10, 1_000_000])
+@pytest.mark.parametrize("end", [end_and_reset, reset, close])
+def test_an_early_response_that_is_reset_during_the_upload_does_not_look_complete(
+    tmp_path, end, size
+):
+    # Guards against a part of a response that callers take for the whole one: a reset that follows
+    # the end of the connection, while the request is still being sent, was not noticed.
+    async def answer_and_end(target, writer, request_id):
+        await target.write(writer, HEAD % request_id + b"x" * size)
+        ended = end(writer)
+        if ended is not None:
+            await ended
+
+    async def scenario(fixture):
+        target = endless_bytes_test.RawTarget("t", answer_and_end, answers_early=True)
+        await target.start(fixture, "plain", "a")
+        fields = {"X-Request-Id": "u1", "X-Deadline-Ms": "3000", **forwarder_test.KEY}
+        answer = await upload(fixture, "/w/x", fields)
+        assert answer.status == 502 or not answer.complete
+        assert target.request_count == 1 and target.received_bytes == 0
+        await target.stop()
+
+    forwarder_test.run(scenario, tmp_path)
+
+
+def test_a_stream_that_is_reset_during_the_upload_continues_at_another_engine(tmp_path):
+    # Guards against a stream that looks complete after its first events, for the same reason.
+    async def begin_and_end(target, writer, request_id):
+        await target.write(writer, HEAD % request_id + events(0, 5))
+        await end_and_reset(writer)
+
+    async def scenario(fixture):
+        broken = endless_bytes_test.RawTarget("e0", begin_and_end, answers_early=True)
+        await broken.start(fixture, "engines", "a")
+        task = asyncio.ensure_future(upload(fixture, "/s/x", platform_standins.stream_headers("r")))
+        await platform_standins.wait_until(lambda: broken.request_count)
+        sound = await fixture.add("e1", "engines", "b")
+        answer = await task
+        assert answer.complete and answer.event_ids() == list(range(EVENT_COUNT))
+        assert [fields.get("last-event-id") for _, fields in sound.runs] == ["4"]
+        await broken.stop()
+
+    forwarder_test.run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("size", [10, 1_000_000])
+def test_an_early_response_of_a_target_that_reads_on_is_delivered(tmp_path, size):
+    # Guards against sound responses that are given up because the request is still being sent.
+    async def answer_and_read_on(target, writer, request_id):
+        await target.write(writer, HEAD % request_id + b"x" * size)
+        writer.write_eof()
+        await asyncio.sleep(0.05)
+
+    async def scenario(fixture):
+        target = endless_bytes_test.RawTarget("t", answer_and_read_on, answers_early=True)
+        await target.start(fixture, "plain", "a")
+        fields = {"X-Request-Id": "u1", "X-Deadline-Ms": "3000", **forwarder_test.KEY}
+        answer = await upload(fixture, "/w/x", fields)
+        assert answer.status == 200 and answer.complete
+        assert answer.body == b"x" * size
+        await platform_standins.wait_until(lambda: target.received_bytes == len(UPLOAD))
+        await target.stop()
+
+    forwarder_test.run(scenario, tmp_path)
