Take no status for a response that HTTP does not have

What callers would see: after a response with the status 000 (or up to 199) and a body, a 200 whose body begins with that body; after 000 alone on an open connection nothing until the deadline; 600 to 999 as the answer. Reported by operators of similar systems; here in a test only.

Cause: everything below 200 was discarded as an interim response, but its body was kept for the next response; nothing bounded the status from above.

Change: a status outside 100 to 599 and a body in an interim response fail the channel; the log names the status. What a callback raises was logged as "User callback error" before.

--- a/chiveswitch/forwarding/channel.py
+++ b/chiveswitch/forwarding/channel.py
@@ -29,6 +29,10 @@
 # Largest number of header fields of a response, since each one needs much more memory than its
 # bytes.
 MAX_HEADER_FIELDS = 256
+# Smallest and largest status code of HTTP, and the smallest one that is not interim.
+MIN_STATUS = 100
+MAX_STATUS = 599
+FINAL_STATUS = 200
 # Largest number of responses to other requests that are skipped before the expected one.
 MAX_STRAY_RESPONSES = 4
 # Interval in seconds at which a channel whose response has ended checks whether the target has
@@ -146,7 +150,8 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.response.complete:
-                self._mark_failed(f"invalid HTTP response: {error}")
+                # The parser wraps exceptions of the callbacks.
+                self._mark_failed(f"invalid HTTP response: {error.__context__ or error}")
             else:
                 self._is_reusable = False
             self._transport.abort()
@@ -202,7 +207,7 @@
         self._account.update(0)
         self._mark_failed(f"reset: {error}" if error else "closed by the target")
 
-    # Callbacks of the HTTP parser.
+    # Callbacks of the HTTP parser, which passes on exceptions as errors of the response.
 
     def on_message_begin(self):
         """Makes the channel unusable for further requests if a second response begins."""
@@ -219,7 +224,6 @@
         if self.response.complete or self.response.status:
             return
         if len(self.response.headers) >= MAX_HEADER_FIELDS:
-            # The parser passes on the exception as an error of the response.
             raise ValueError(f"more than {MAX_HEADER_FIELDS} header fields")
         text, content = name.decode("latin-1"), value.decode("latin-1")
         self.response.headers.append((text, content))
@@ -231,7 +235,9 @@
         if response.complete:
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise ValueError(f"status {status:03d}")
+        if status < FINAL_STATUS:
             response.headers.clear()
             response.value_by_header.clear()
             response.reason = ""
@@ -248,6 +254,8 @@
     def on_body(self, body):
         """Adds a part of the body to the response."""
         self._body_bytes += len(body)
+        if not self.response.status:
+            raise ValueError("an interim response has a body")
         if not self.response.complete:
             self.response.body += body
 
--- a/chiveswitch/forwarding/channel_test.py
+++ b/chiveswitch/forwarding/channel_test.py
@@ -112,6 +112,16 @@
     assert response is None and not usable
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+def test_a_response_with_an_invalid_status_fails_the_channel_at_once(status):
+    # Guards against callers that get such a response, or wait for another one until the deadline.
+    piece = b"HTTP/1.1 %s Status\r\nX-Request-Id: mine\r\nContent-Length: 1\r\n\r\nz" % status
+    response, usable, channel = exchange([piece], keep=True)
+    assert response is None and not usable
+    # A channel that is given up after a wait has another reason.
+    assert channel.failure_reason == f"invalid HTTP response: status {status.decode()}"
+
+
 def test_an_interim_response_is_not_the_response():
     interim = b"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"
     response, _, _ = exchange([interim + HEAD + b"Content-Length: 1\r\n\r\na"], keep=True)
--- a/chiveswitch/forwarding/foreign_responses_test.py
+++ b/chiveswitch/forwarding/foreign_responses_test.py
@@ -1,5 +1,8 @@
-"""Tests of bytes that a faulty target sends in place of its response: without the request's id, or
-a success without a receipt."""
+"""Tests of bytes that a faulty target sends in place of its response.
+
+They lack the id of the request, have a status that HTTP does not have, or are a success without a
+receipt.
+"""
 
 import asyncio
 
@@ -24,7 +27,7 @@
         fields: Header lines.
         length: Whether the response states its length; otherwise it ends with its connection.
     """
-    lines = [b"HTTP/1.1 %d Status" % status, *fields]
+    lines = [b"HTTP/1.1 %03d Status" % status, *fields]
     if length:
         lines.append(b"Content-Length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
@@ -47,6 +50,13 @@
     "empty success without receipt": response(204, b"", REQUEST_ID, length=False),
     "other success without receipt": response(299, b"ready\n", REQUEST_ID),
     "empty receipt": response(200, EVENTS, REQUEST_ID, b"X-Response-Seal:"),
+    "status 000": response(0, EVENTS, REQUEST_ID, RECEIPT),
+    "status 000 before a success": response(0, b"failed\n", REQUEST_ID, RECEIPT)
+    + response(200, EVENTS, REQUEST_ID, RECEIPT),
+    "status 199 with a body before a success": response(199, b"failed\n", REQUEST_ID, RECEIPT)
+    + response(200, EVENTS, REQUEST_ID, RECEIPT),
+    "status 600": response(600, b"failed", REQUEST_ID, RECEIPT),
+    "status 999 without a length": response(999, EVENTS, REQUEST_ID, RECEIPT, length=False),
 }
 
 
