Take no response of a service for an answer that has no end or status

What callers of the product's own interface would see: outcomes with the status 0, 99, 100 or 600, and successes with an empty body after a response with neither a length nor chunks.

Cause: send_call called every response of the HTTP library an answer; the library accepts any status, does not skip interim responses and reads no body without a length.

Change: an answer has a status from 200 to 599, and a length or chunks unless its status has no body; otherwise the outcome is unknown.

--- a/chiveswitch/targets/service_client.py
+++ b/chiveswitch/targets/service_client.py
@@ -8,6 +8,13 @@
 from chiveswitch.core import clock
 from chiveswitch.targets import checked_client
 
+# Smallest and largest status code of an answer. The library takes any number, and interim
+# responses, for the status of one.
+MIN_STATUS = 200
+MAX_STATUS = 599
+# Status codes of answers without a body.
+BODILESS_STATUSES = frozenset((204, 304))
+
 
 class DeliveryStatus(enum.Enum):
     """Known result of an attempt to send a call.
@@ -42,6 +49,16 @@
         self.body = body
 
 
+def _is_answer(response) -> bool:
+    """Returns whether a response is an answer whose end can be recognized.
+
+    The library takes a response with neither a length nor chunks for one with an empty body.
+    """
+    status = response.status_code
+    has_end = response.chunked or "content-length" in response.headers
+    return MIN_STATUS <= status <= MAX_STATUS and (has_end or status in BODILESS_STATUSES)
+
+
 async def send_call(
     address, service_name, body, idempotency_key, timeout, deadline=None, traceparent=""
 ) -> CallOutcome:
@@ -82,6 +99,8 @@
             data=orjson.dumps({"service": service_name, "body": body}),
             timeouts=timeouts,
         )
+        if not _is_answer(response):
+            return CallOutcome(DeliveryStatus.UNKNOWN)
         return CallOutcome(DeliveryStatus.ANSWERED, response.status_code, await response.content())
     except checked_client.SendForbiddenError:
         return CallOutcome(DeliveryStatus.DEADLINE_PASSED)
