--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -225,6 +225,8 @@
 
 
 BEHAVIOUR_BY_NAME = {}
+# Statuses of the responses of `send_foreign_bytes`, in turn.
+FOREIGN_STATUSES = (200, 404, 503)
 
 
 def behaviour(name: str):
@@ -292,6 +294,15 @@
     responder.send(500, worker._response_headers(request_id), b"failed")
 
 
+@behaviour("send_foreign_bytes")
+async def send_foreign_bytes(worker, request, responder, request_id):
+    """Runs the request and sends, in place of its response, one that belongs to no request."""
+    worker.runs.append((request_id, dict(request.value_by_header)))
+    status = FOREIGN_STATUSES[len(worker.runs) % len(FOREIGN_STATUSES)]
+    headers = [("X-Not-Executed", "1")] if status == 503 else []
+    responder.send(status, headers, b"id: 0\ndata: foreign\n\n")
+
+
 @behaviour("hang")
 async def hang(worker, request, _responder, request_id):
     """Runs the request and never answers."""
--- a/features/soak.py
+++ b/features/soak.py
@@ -155,6 +155,11 @@
                 self.violations.append(f"call {request_id} got another body: {answer.body[:80]}")
             if answer.status == 200 and not runs:
                 self.violations.append(f"call {request_id} was answered and never ran")
+        for request_id, answer in (*self.calls, *self.streams):
+            if answer.status == 200 and not answer.value_by_header.get("x-response-seal"):
+                self.violations.append(f"{request_id} got a success without a receipt")
+            if answer.status == 404:
+                self.violations.append(f"{request_id} got 404 on a known route")
         for request_id, answer in self.streams:
             ids = answer.event_ids()
             if answer.status == 200 and ids != list(range(len(ids))):
@@ -720,7 +725,7 @@
     async def fail_requests(self):
         """Makes a worker refuse requests, fail or lose responses for a while."""
         worker = self._rng.choice(self._fleet.workers)
-        names = ("shed", "unsure", "lose_answer", "fail")
+        names = ("shed", "unsure", "lose_answer", "fail", "send_foreign_bytes")
         worker.behaviour = self._rng.choice(names)
         await asyncio.sleep(self._rng.uniform(0.3, 2.0))
         worker.behaviour = "answer"
