Take a rejection whose body is broken off for a rejection

What callers would see: 502 for an unrepeatable request that a full target has rejected early, while another target is free.

Cause: a response counted only when it was complete. A rejection states in its head that the request was not run; its body says no more.

Change: calls and streams take the head of a rejection, if it bears the request's id, for the whole; the channel is closed.

--- a/chiveswitch/forwarding/calls.py
+++ b/chiveswitch/forwarding/calls.py
@@ -267,6 +267,9 @@
     fault = forwarder.find_response_fault(channel, response_info)
     if channel.response.status and not fault:
         forwarder.observe_response(target, response_info, started)
+        if response_info.not_run:
+            # The head states it, even if the rest of the response does not arrive.
+            response = channel.response
     if response is None:
         is_broken = bool(channel.failure_reason)
         reason = channel.failure_reason or f"no response in {attempt_timeout_s:.3f} s"
@@ -289,7 +292,7 @@
         channel.answered_ids.add(admitted.caller.request_id)
     if response.complete:
         forwarder.pool.release(channel)
-    elif is_failure or response.status in UNPROVEN_STATUSES:
+    elif is_failure or response_info.not_run or response.status in UNPROVEN_STATUSES:
         channel.abort()
     forwarder.process_response(target, response_info)
     if response_info.not_run:
--- a/chiveswitch/forwarding/streams.py
+++ b/chiveswitch/forwarding/streams.py
@@ -751,13 +751,16 @@
         # The expected response may follow one to another request.
         if fault and not channel.answers_other_request:
             return AttemptEnd.FAULTY, fault
-        response = await channel.read_response(clock.now() + PROBE_TIMEOUT_SECONDS)
-        if response is None:
+        is_complete = await channel.read_response(clock.now() + PROBE_TIMEOUT_SECONDS) is not None
+        response = channel.response
+        response_info = forwarder.dialect.decode_response(response)
+        fault = forwarder.find_response_fault(channel, response_info)
+        # The head of a rejection states it, even if the rest of the response does not arrive.
+        is_rejection = response.status and response_info.not_run and not fault
+        if not is_complete and not is_rejection:
             if channel.failure_reason:
                 return AttemptEnd.DISCONNECTED, channel.failure_reason
             return AttemptEnd.SILENT, "the response was not complete in time"
-        response_info = forwarder.dialect.decode_response(response)
-        fault = forwarder.find_response_fault(channel, response_info)
         if fault:
             return AttemptEnd.FAULTY, fault
         forwarder.pool.release(channel)
--- a/chiveswitch/forwarding/unframed_responses_test.py
+++ b/chiveswitch/forwarding/unframed_responses_test.py
@@ -245,3 +245,33 @@
         await target.stop()
 
     forwarder_test.run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("prefix", ["/w/x", "/s/x"])
+@pytest.mark.parametrize("end", [end_and_reset, reset])
+def test_an_early_rejection_that_is_reset_during_the_upload_is_understood(tmp_path, end, prefix):
+    # Guards against an unrepeatable request that is not sent to another target although the head of
+    # the first one's response states that it was not run.
+    async def reject_and_end(target, writer, request_id):
+        head = b"HTTP/1.1 503 Full\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n\r\nfull"
+        await target.write(writer, head % request_id)
+        await asyncio.sleep(0.05)
+        ended = end(writer)
+        if ended is not None:
+            await ended
+
+    async def scenario(fixture):
+        fixture.gateway.bundle.routes[0].resumable = False
+        service = "engines" if prefix == "/s/x" else "plain"
+        full = endless_bytes_test.RawTarget("t", reject_and_end, answers_early=True)
+        await full.start(fixture, service, "a")
+        fields = platform_standins.stream_headers("u1")
+        task = asyncio.ensure_future(upload(fixture, prefix, fields))
+        await platform_standins.wait_until(lambda: full.request_count)
+        sound = await fixture.add("w0", service, "b")
+        answer = await task
+        assert answer.status == 200 and answer.complete
+        assert len(sound.runs) == 1
+        await full.stop()
+
+    forwarder_test.run(scenario, tmp_path)
