Remove waits from the tests of foreign and early responses

Cause: tests of streams and rejections started the second target while the first one answered; beside load it could have come too late for the retries, and in two of them too late to show a second run.

Change: the first target starts the second one before it answers. RawTarget refuses copies also where it answers early.

--- a/chiveswitch/forwarding/endless_bytes_test.py
+++ b/chiveswitch/forwarding/endless_bytes_test.py
@@ -65,6 +65,10 @@
         await writer.drain()
         self.sent_bytes += len(data)
 
+    async def _answer(self, writer, request_id):
+        self.request_count += 1
+        await self._write_answer(self, writer, request_id)
+
     async def _serve(self, reader, writer):
         try:
             while True:
@@ -77,17 +81,14 @@
                         length = int(value)
                     if name.lower() == b"x-request-id":
                         request_id = value.strip()
-                if self.answers_early:
-                    self.request_count += 1
-                    await self._write_answer(self, writer, request_id)
+                is_refused = b"/kv-move" in head and not self.makes_copies
+                if self.answers_early and not is_refused:
+                    await self._answer(writer, request_id)
                 self.received_bytes += len(await reader.readexactly(length))
-                if self.answers_early:
-                    continue
-                if b"/kv-move" in head and not self.makes_copies:
+                if is_refused:
                     writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
-                    continue
-                self.request_count += 1
-                await self._write_answer(self, writer, request_id)
+                elif not self.answers_early:
+                    await self._answer(writer, request_id)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
--- a/chiveswitch/forwarding/foreign_responses_test.py
+++ b/chiveswitch/forwarding/foreign_responses_test.py
@@ -4,8 +4,6 @@
 receipt.
 """
 
-import asyncio
-
 import pytest
 
 from chiveswitch.core import clock
@@ -107,33 +105,27 @@
 
 @pytest.mark.parametrize("case", RESPONSE_BY_CASE)
 def test_a_stream_continues_after_a_response_that_no_engine_has_stated(tmp_path, case):
-    # Guards against streams of bytes that no engine has stated, from their start and after a
-    # failover.
-    sound_is_known = asyncio.Event()
-
-    async def begin_only(target, writer, request_id):
-        head = endless_bytes_test.HEAD % request_id
-        await target.write(writer, head + b"\r\n" + unframed_responses_test.events(0, 3))
-        unframed_responses_test.reset(writer)
-
-    async def send_late(target, writer, request_id):
-        await sound_is_known.wait()
-        await send_always(RESPONSE_BY_CASE[case])(target, writer, request_id)
-
+    # Guards against streams of bytes that no engine has stated, after a failover.
     async def scenario(fixture):
-        broken = endless_bytes_test.RawTarget("e0", begin_only)
+        async def begin(target, writer, request_id):
+            head = endless_bytes_test.HEAD % request_id
+            await target.write(writer, head + b"\r\n" + unframed_responses_test.events(0, 3))
+            await faulty.start(fixture, "engines", "a")
+            fixture.table.remove("e0", clock.now())
+            unframed_responses_test.reset(writer)
+
+        async def answer_falsely(target, writer, request_id):
+            await fixture.add("e2", "engines", "b")
+            await send_always(RESPONSE_BY_CASE[case])(target, writer, request_id)
+
+        broken = endless_bytes_test.RawTarget("e0", begin)
+        faulty = endless_bytes_test.RawTarget("e1", answer_falsely)
         await broken.start(fixture, "engines", "a")
-        task = asyncio.ensure_future(forwarder_test.stream(fixture, "r1"))
-        await platform_standins.wait_until(lambda: broken.request_count)
-        faulty = endless_bytes_test.RawTarget("e1", send_late)
-        await faulty.start(fixture, "engines", "a")
-        await platform_standins.wait_until(lambda: faulty.request_count)
-        fixture.table.remove("e0", clock.now())
-        sound = await fixture.add("e2", "engines", "b")
-        sound_is_known.set()
-        answer = await task
+        answer = await forwarder_test.stream(fixture, "r1")
         assert answer.complete
         assert answer.event_ids() == list(range(unframed_responses_test.EVENT_COUNT))
+        assert (broken.request_count, faulty.request_count) == (1, 1)
+        sound = fixture.workers["e2"]
         assert [fields.get("last-event-id") for _, fields in sound.runs] == ["2"]
         await broken.stop()
         await faulty.stop()
@@ -145,15 +137,16 @@
 def test_a_stream_that_runs_once_gets_no_response_that_no_engine_has_stated(tmp_path, case):
     # Guards against the same bytes at the start of a stream, and against a second run of it.
     async def scenario(fixture):
+        async def answer_falsely(target, writer, request_id):
+            await fixture.add("e1", "engines", "b")
+            await send_always(RESPONSE_BY_CASE[case])(target, writer, request_id)
+
         fixture.gateway.bundle.routes[0].resumable = False
-        faulty = endless_bytes_test.RawTarget("e0", send_always(RESPONSE_BY_CASE[case]))
+        faulty = endless_bytes_test.RawTarget("e0", answer_falsely)
         await faulty.start(fixture, "engines", "a")
-        task = asyncio.ensure_future(forwarder_test.stream(fixture, "r1"))
-        await platform_standins.wait_until(lambda: faulty.request_count)
-        sound = await fixture.add("e1", "engines", "b")
-        answer = await task
+        answer = await forwarder_test.stream(fixture, "r1")
         assert (answer.status, answer.body) == (502, b"")
-        assert faulty.request_count == 1 and not sound.runs
+        assert faulty.request_count == 1 and not fixture.workers["e1"].runs
         await faulty.stop()
 
     forwarder_test.run(scenario, tmp_path)
--- a/chiveswitch/forwarding/unframed_responses_test.py
+++ b/chiveswitch/forwarding/unframed_responses_test.py
@@ -208,18 +208,17 @@
 
 def test_a_stream_that_is_reset_during_the_upload_continues_at_another_engine(tmp_path):
     # Guards against a stream that looks complete after its first events, for the same reason.
-    async def begin_and_end(target, writer, request_id):
-        await target.write(writer, HEAD % request_id + events(0, 5))
-        await end_and_reset(writer)
-
     async def scenario(fixture):
+        async def begin_and_end(target, writer, request_id):
+            await target.write(writer, HEAD % request_id + events(0, 5))
+            await fixture.add("e1", "engines", "b")
+            await end_and_reset(writer)
+
         broken = endless_bytes_test.RawTarget("e0", begin_and_end, answers_early=True)
         await broken.start(fixture, "engines", "a")
-        task = asyncio.ensure_future(upload(fixture, "/s/x", platform_standins.stream_headers("r")))
-        await platform_standins.wait_until(lambda: broken.request_count)
-        sound = await fixture.add("e1", "engines", "b")
-        answer = await task
+        answer = await upload(fixture, "/s/x", platform_standins.stream_headers("r"))
         assert answer.complete and answer.event_ids() == list(range(EVENT_COUNT))
+        sound = fixture.workers["e1"]
         assert [fields.get("last-event-id") for _, fields in sound.runs] == ["4"]
         await broken.stop()
 
@@ -252,26 +251,24 @@
 def test_an_early_rejection_that_is_reset_during_the_upload_is_understood(tmp_path, end, prefix):
     # Guards against an unrepeatable request that is not sent to another target although the head of
     # the first one's response states that it was not run.
-    async def reject_and_end(target, writer, request_id):
-        head = b"HTTP/1.1 503 Full\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n\r\nfull"
-        await target.write(writer, head % request_id)
-        await asyncio.sleep(0.05)
-        ended = end(writer)
-        if ended is not None:
-            await ended
-
     async def scenario(fixture):
-        fixture.gateway.bundle.routes[0].resumable = False
         service = "engines" if prefix == "/s/x" else "plain"
+
+        async def reject_and_end(target, writer, request_id):
+            await fixture.add("w0", service, "b")
+            head = b"HTTP/1.1 503 Full\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\n\r\nfull"
+            await target.write(writer, head % request_id)
+            await asyncio.sleep(0.05)
+            ended = end(writer)
+            if ended is not None:
+                await ended
+
+        fixture.gateway.bundle.routes[0].resumable = False
         full = endless_bytes_test.RawTarget("t", reject_and_end, answers_early=True)
         await full.start(fixture, service, "a")
-        fields = platform_standins.stream_headers("u1")
-        task = asyncio.ensure_future(upload(fixture, prefix, fields))
-        await platform_standins.wait_until(lambda: full.request_count)
-        sound = await fixture.add("w0", service, "b")
-        answer = await task
+        answer = await upload(fixture, prefix, platform_standins.stream_headers("u1"))
         assert answer.status == 200 and answer.complete
-        assert len(sound.runs) == 1
+        assert full.request_count == 1 and len(fixture.workers["w0"].runs) == 1
         await full.stop()
 
     forwarder_test.run(scenario, tmp_path)
