--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -474,7 +474,9 @@
     async def _answer(self, path, headers, _body, writer):
         request_id = headers.get("x-request-id", "")
         common = f"X-Request-Id: {request_id}\r\nX-Instance-Load: {self._running},0,32\r\n"
-        if headers.get("x-expect-instance") not in (None, self.worker_id):
+        is_expected = headers.get("x-expect-instance") in (None, self.worker_id)
+        # All workers hold version 1 of the weights.
+        if not is_expected or headers.get("x-expect-version", "1") != "1":
             writer.write(
                 f"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\n{common}"
                 "Content-Length: 0\r\n\r\n".encode()
