--- a/review/11/case.py
+++ b/review/11/case.py
@@ -154,4 +154,4 @@
 
 
 if __name__ == "__main__":
-    harness_3.main(HERE, play, core=3, others=1, spares=1)
+    harness_3.main(HERE, play, core=4, others=2, spares=1)
