--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -175,6 +175,7 @@
         self.port = self._free_ports()
         self.zone = {name: ZONES[place % 4] for place, name in enumerate(self.ip)}
         self.seeds = self.core[:3]
+        self.memory_mb = 300
 
     def _free_ports(self):
         for _ in range(50):
@@ -231,7 +232,7 @@
         lines += [f'{zone} = "rieslbach"' for zone in ZONES]
         lines.append("[listen]")
         lines += [f'{serves} = "{self.address(name, serves)}"' for serves in SERVES]
-        lines += ["[limits]", "cpu-share = 0.968", "cores = 2", "memory-mb = 300"]
+        lines += ["[limits]", "cpu-share = 0.968", "cores = 2", f"memory-mb = {self.memory_mb}"]
         lines += ["max-fds = 4100", "link-mbps = 1000.0", "disk-mb = 64"]
         lines += ["[fault-tolerance]", "machines = 1", "zones = 0", "regions = 0", "[bounds]"]
         lines += [f"{key} = {json.dumps(value)}" for key, value in BOUNDS.items()]
